--- /dev/null
+++ b/crates/control/src/flags.rs
@@ -0,0 +1,43 @@
+//! The flags and environment variables of `cassia-control`.
+
+use bpaf::Bpaf;
+use cassia_node::Faults;
+use cassia_node::NodeFlags;
+use cassia_node::NodeSettings;
+use cassia_node::SettingsError;
+use cassia_node::node_flags;
+
+/// Gives engines their orders: which weights to stage and to serve.
+///
+/// Every flag can be given as an environment variable instead; the flag wins.
+/// Any number of these processes may run; a lease on the log lets one at a
+/// time act for a model.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, generate(flags))]
+pub(crate) struct Flags {
+    /// Length of a lease's term, the same for all processes, in milliseconds
+    #[bpaf(long, env("CASSIA_LEASE_TERM_MS"), argument("MS"), fallback("9000".to_owned()))]
+    lease_term_ms: String,
+    #[bpaf(external(node_flags))]
+    node: NodeFlags,
+}
+
+/// The settings, checked.
+#[derive(Clone, Debug)]
+pub(crate) struct Settings {
+    pub(crate) term_ms: u64,
+    pub(crate) node: NodeSettings,
+}
+
+impl Flags {
+    pub(crate) fn check(&self) -> Result<Settings, SettingsError> {
+        let mut faults = Faults::default();
+        let term_ms = faults.number("--lease-term-ms", &self.lease_term_ms, 300, 600_000);
+        let node = self.node.check(&mut faults);
+        match (term_ms, node, faults.into_result()) {
+            (Some(term_ms), Some(node), Ok(())) => Ok(Settings { term_ms, node }),
+            (.., Err(e)) => Err(e),
+            (.., Ok(())) => unreachable!("a value that is missing has been noted as a fault"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,60 @@
+//! The program that gives engines their orders under a lease.
+
+mod app;
+mod flags;
+mod leases;
+mod orders;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cassia_node::NoQuestions;
+use cassia_node::Node;
+use cassia_node::Role;
+use cassia_node::start_logging;
+
+use crate::app::App;
+use crate::flags::Settings;
+use crate::leases::LeaseController;
+
+fn main() -> ExitCode {
+    let settings = match flags::flags().run().check() {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("cassia-control: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    if settings.node.check_only {
+        println!("settings are good");
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("cassia-control: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(settings: Settings) -> anyhow::Result<()> {
+    start_logging()?;
+    let host = settings.node.host.clone();
+    let mut node = Node::new(settings.node, Role::Control)?;
+    let app = Arc::new(App::new(Arc::clone(&node.board), Arc::clone(&node.platform)));
+    node.start(Arc::new(NoQuestions), Arc::clone(&app) as _).await?;
+    let term = Duration::from_millis(settings.term_ms);
+    let leases = LeaseController::new(Arc::clone(&app), Arc::clone(&node.log), host, term);
+    let leases = tokio::spawn(leases.run());
+    let orders = tokio::spawn(orders::run(Arc::clone(&app)));
+    node.until_drained().await?;
+    // Orders that are on their way end first; then the lease is let go, so
+    // that another process need not wait for it to lapse.
+    orders.await?;
+    leases.await?;
+    node.leave().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,80 @@
+//! The operators' command line.
+
+mod contracts;
+mod flags;
+mod processes;
+
+use std::process::ExitCode;
+
+use crate::flags::Command;
+
+/// How a command ended; the exit codes are part of the interface.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ended {
+    /// The command did what it was asked to.
+    Done,
+    /// What was given can't be accepted as it stands.
+    Faulty,
+    /// Another change came first, or the contracts in force don't allow it.
+    Refused,
+    /// The log or a process can't be reached; what was begun may be done.
+    Unreachable,
+}
+
+impl From<Ended> for ExitCode {
+    fn from(ended: Ended) -> Self {
+        Self::from(match ended {
+            Ended::Done => 0,
+            Ended::Faulty => 2,
+            Ended::Refused => 3,
+            Ended::Unreachable => 4,
+        })
+    }
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let options = flags::options().run();
+    let out = Printer { json: options.json };
+    let ended = match options.command {
+        Command::Check { file } => contracts::check(&out, &file),
+        Command::Schema => contracts::schema(&out),
+        Command::Publish { log, revision, file } => {
+            contracts::publish(&out, log, revision, &file).await
+        }
+        Command::Withdraw { log, revision, customer } => {
+            contracts::withdraw(&out, log, revision, &customer).await
+        }
+        Command::Show { log, customer } => contracts::show(&out, log, &customer).await,
+        Command::History { log, customer } => contracts::history(&out, log, &customer).await,
+        Command::Status { ops } => processes::status(&out, &ops).await,
+        Command::Dump { ops } => processes::dump(&out, ops).await,
+    };
+    ended.into()
+}
+
+/// Prints results, as text or as JSON.
+#[derive(Debug)]
+pub(crate) struct Printer {
+    json: bool,
+}
+
+impl Printer {
+    /// Prints one result in the form that was asked for.
+    pub(crate) fn result(&self, text: &str, value: &serde_json::Value) {
+        if self.json {
+            println!("{value}");
+        } else {
+            println!("{text}");
+        }
+    }
+
+    /// Prints a failure: to standard error as text, or as JSON like a result.
+    pub(crate) fn failure(&self, text: &str) {
+        if self.json {
+            println!("{}", serde_json::json!({"error": text}));
+        } else {
+            eprintln!("cassiactl: {text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/app.rs
@@ -0,0 +1,295 @@
+//! What the entry program works on, and a request's way through it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cassia_contract::Contract;
+use cassia_contract::Route;
+use cassia_contract::RouteKind;
+use cassia_ids::CustomerId;
+use cassia_ids::ModelName;
+use cassia_ids::RequestId;
+use cassia_ids::TargetId;
+use cassia_node::ApiError;
+use cassia_node::ApiErrorKind;
+use cassia_node::Ask;
+use cassia_node::Board;
+use cassia_node::Dump;
+use cassia_node::LinkHandler;
+use cassia_node::RedeemAsk;
+use cassia_node::Reply;
+use cassia_once::Desk;
+use cassia_once::Ran;
+use cassia_platform::Engine;
+use cassia_platform::HttpPlatform;
+use cassia_platform::PlainService;
+use cassia_platform::PlatformError;
+use cassia_route::Budget;
+use cassia_route::Choice;
+use cassia_route::Policy;
+use cassia_route::Request;
+use cassia_route::TargetKind;
+use cassia_route::Use;
+use serde_json::Value;
+use serde_json::json;
+use smol_str::format_smolstr;
+
+use crate::answer::Attempts;
+use crate::answer::Finished;
+use crate::gates::Gates;
+use crate::gates::Pass;
+use crate::once::Ends;
+
+/// When a caller is asked back after a failure at a target.
+pub(crate) const RETURN_AFTER_FAILURE: Duration = Duration::from_millis(500);
+/// Targets that one request is sent to at most.
+const MOST_ATTEMPTS: u32 = 3;
+/// How long a target is avoided after it failed.
+const AVOID: Duration = Duration::from_secs(1);
+/// Requests a slot that a process lets through, since its peers may have less
+/// to do than it; the engines' own queues order the surplus by priority.
+const REQUESTS_PER_SLOT: u32 = 2;
+
+/// What the entry program works on.
+#[derive(Debug)]
+pub(crate) struct App {
+    pub(crate) board: Arc<Board>,
+    pub(crate) engine: Arc<dyn Engine>,
+    pub(crate) service: Arc<dyn PlainService>,
+    pub(crate) gates: Arc<Gates>,
+    pub(crate) desk: Mutex<Desk>,
+    pub(crate) ends: Ends,
+    budgets: Mutex<BTreeMap<(CustomerId, TargetKind), Budget>>,
+    next_request: AtomicU64,
+    counts: Counts,
+}
+
+/// What a dump counts.
+#[derive(Debug, Default)]
+struct Counts {
+    answered: AtomicU64,
+    refused: AtomicU64,
+    failed: AtomicU64,
+    attempts: AtomicU64,
+}
+
+/// One request of a caller.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) id: RequestId,
+    pub(crate) contract: Arc<Contract>,
+    pub(crate) route: Route,
+    pub(crate) body: Bytes,
+    pub(crate) deadline: Instant,
+}
+
+impl Call {
+    /// The model of a route that generates; empty for another.
+    pub(crate) fn model(&self) -> ModelName {
+        match &self.route.kind {
+            RouteKind::Generate { model } => model.clone(),
+            RouteKind::Call { .. } => ModelName::default(),
+        }
+    }
+
+    pub(crate) fn target_kind(&self) -> TargetKind {
+        match &self.route.kind {
+            RouteKind::Generate { model } => TargetKind::Engine { model: model.clone() },
+            RouteKind::Call { service } => TargetKind::Service { name: service.clone() },
+        }
+    }
+}
+
+impl App {
+    pub(crate) fn new(board: Arc<Board>, platform: Arc<HttpPlatform>) -> Self {
+        let desk = Desk::new(board.link, board.boot, rand::random(), Instant::now());
+        Self {
+            board,
+            engine: Arc::clone(&platform) as _,
+            service: platform,
+            gates: Arc::default(),
+            desk: Mutex::new(desk),
+            ends: Ends::default(),
+            budgets: Mutex::default(),
+            next_request: AtomicU64::new(1),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Builds the call for a request, if its contract has the route.
+    pub(crate) fn call(
+        &self,
+        contract: Arc<Contract>,
+        route: &str,
+        body: Bytes,
+        within: Option<Duration>,
+    ) -> Result<Call, ApiError> {
+        let Some(route) = contract.route(route).cloned() else {
+            let message = format!("the contract has no route {route:?}");
+            return Err(ApiError::not_run(ApiErrorKind::NotFound, "find route", message));
+        };
+        let limit = route.time_limit();
+        let deadline = Instant::now() + within.map_or(limit, |within| within.min(limit));
+        let n = self.next_request.fetch_add(1, Ordering::Relaxed);
+        // The run and a counter: never the same id twice, over restarts too.
+        let id = format_smolstr!("{:x}-{n:x}", self.board.boot);
+        Ok(Call { id, contract, route, body, deadline })
+    }
+
+    /// Serves a call that may be repeated, and counts how it ended.
+    pub(crate) async fn serve(&self, call: &Call) -> Result<Finished, ApiError> {
+        let began = Instant::now();
+        let served = match &call.route.kind {
+            RouteKind::Generate { .. } => self.generate(call).await,
+            RouteKind::Call { .. } => self.call_service(call).await,
+        };
+        self.count(call, &served, began);
+        served
+    }
+
+    /// Waits at the gate.
+    pub(crate) async fn pass(&self, call: &Call) -> Result<Pass, ApiError> {
+        let kind = call.target_kind();
+        let slots = self.board.slots.load().get(&kind).copied().unwrap_or(0);
+        if slots == 0 {
+            let e = ApiError::not_run(ApiErrorKind::NoTarget, "admit", "no target is open");
+            return Err(e.with_return_after(RETURN_AFTER_FAILURE));
+        }
+        let capacity = (slots * REQUESTS_PER_SLOT).div_ceil(self.board.same_role());
+        let request = Request {
+            customer: call.contract.customer.clone(),
+            class: call.route.class,
+            priority: call.contract.priority,
+            share_percent: call.contract.share_percent,
+            deadline: call.deadline,
+        };
+        self.gates.enter(&kind, capacity, &request).await.map_err(|refused| {
+            let after = refused.return_at.saturating_duration_since(Instant::now());
+            ApiError::not_run(ApiErrorKind::Overloaded, "admit", "can't make the deadline")
+                .with_return_after(after)
+        })
+    }
+
+    /// Chooses a target and counts the request in there.
+    pub(crate) fn choose(
+        &self,
+        call: &Call,
+        affinity: Option<u64>,
+        not: Option<&TargetId>,
+    ) -> Result<Use, ApiError> {
+        let kind = call.target_kind();
+        let targets = self.board.targets.load();
+        let not = not.map(TargetId::as_str);
+        // A target may close between the choice and this count; then another
+        // is chosen. Past the count nothing is written but the request.
+        for _ in 0..3 {
+            let now = Instant::now();
+            let Choice::Target(target) =
+                targets.choose(&kind, Policy::TwoChoices, affinity, not, now)
+            else {
+                break;
+            };
+            if let Some(used) = target.begin() {
+                self.counts.attempts.fetch_add(1, Ordering::Relaxed);
+                return Ok(used);
+            }
+        }
+        let e = ApiError::not_run(ApiErrorKind::NoTarget, "choose target", "no target is open");
+        Err(e.with_return_after(RETURN_AFTER_FAILURE))
+    }
+
+    /// Takes a failure at a target in, and says whether to try another one.
+    pub(crate) fn may_retry(
+        &self,
+        call: &Call,
+        used: &Use,
+        e: &PlatformError,
+        attempts: &Attempts,
+    ) -> bool {
+        if e.blames_peer() {
+            let until = Instant::now() + AVOID;
+            self.board.targets.load().avoid(used.target(), until);
+        }
+        let safe = call.route.idempotent || e.ran() == Ran::NotRun;
+        if !safe || attempts.begun >= MOST_ATTEMPTS || Instant::now() >= call.deadline {
+            return false;
+        }
+        let key = (call.contract.customer.clone(), call.target_kind());
+        lock(&self.budgets).entry(key).or_default().try_retry()
+    }
+
+    /// Takes a success at a target in.
+    pub(crate) fn succeeded(&self, call: &Call) {
+        let key = (call.contract.customer.clone(), call.target_kind());
+        lock(&self.budgets).entry(key).or_default().succeeded();
+    }
+
+    pub(crate) fn count(&self, call: &Call, served: &Result<Finished, ApiError>, began: Instant) {
+        let customer = call.contract.customer.as_str();
+        let (name, counter) = match served {
+            Ok(_) => ("answered", &self.counts.answered),
+            Err(e) if e.kind == ApiErrorKind::Overloaded => ("refused", &self.counts.refused),
+            Err(_) => ("failed", &self.counts.failed),
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        self.board.metrics.count(name, customer);
+        self.board.metrics.time("latency", customer, began.elapsed());
+        if let Err(e) = served {
+            let (id, step, peer) = (call.id.as_str(), e.step.as_str(), e.peer.as_str());
+            log::info!(event = "request_failed", step, peer, customer, request_id = id; "{e}");
+        }
+    }
+}
+
+#[async_trait]
+impl LinkHandler for App {
+    async fn answer(&self, ask: Ask) -> Option<Reply> {
+        let Ask::Redeem(RedeemAsk { ticket, customer, route, body, left_ms }) = ask else {
+            return None;
+        };
+        let contract = self.board.contract(&customer);
+        let finished = match contract {
+            Some(contract) => {
+                let within = Some(Duration::from_millis(left_ms));
+                self.redeem_here(contract, &route, body.into(), within, &ticket).await
+            }
+            // Nothing of ours ran it; whether the minter's earlier run of this
+            // ticket did is not known without the contract.
+            None => Err(ApiError::unknown(ApiErrorKind::NotFound, "redeem", "no contract")),
+        };
+        Some(Reply::Served(finished.unwrap_or_else(Finished::from).into()))
+    }
+}
+
+impl Dump for App {
+    fn dump(&self, now: Instant) -> Value {
+        let gates: Vec<_> = self
+            .gates
+            .state(now)
+            .into_iter()
+            .map(|(target, state)| json!({"target": target, "state": state}))
+            .collect();
+        let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        json!({
+            "gates": gates,
+            "tickets_remembered": lock(&self.desk).remembered(),
+            "answered": count(&self.counts.answered),
+            "refused": count(&self.counts.refused),
+            "failed": count(&self.counts.failed),
+            "attempts": count(&self.counts.attempts),
+        })
+    }
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,33 @@
+//! Leases with fencing numbers over an append-only log.
+//!
+//! The log orders the claims; the offset of the accepted claim is the fencing
+//! number. No synchronised clocks are needed: the holder counts from before it
+//! sent a renewal, a challenger from when it saw the last one, so the holder
+//! always lets go first. The crate holds pure state and takes the time as an
+//! argument.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//!
+//! use cassia_lease::{Contender, LeaseTable, Todo};
+//!
+//! let now = Instant::now();
+//! let mut contender = Contender::new("orders".into(), "h1".into(), 7, Duration::from_secs(9), now);
+//! let todo = contender.step(now + Duration::from_secs(10), &LeaseTable::default());
+//! assert!(matches!(todo, Todo::Append(_)));
+//! ```
+
+mod contend;
+mod table;
+
+pub use crate::contend::Contender;
+pub use crate::contend::Todo;
+pub use crate::table::Act;
+pub use crate::table::Lease;
+pub use crate::table::LeaseRecord;
+pub use crate::table::LeaseTable;
+pub use crate::table::Verb;
+pub use crate::table::Verdict;
+
+/// The stream of the log that carries leases.
+pub const STREAM: &str = "lease";
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,221 @@
+//! The flags and environment variables that all programs share.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use bpaf::Bpaf;
+use cassia_ids::DataCentre;
+use cassia_ids::HostId;
+use smol_str::SmolStr;
+
+/// The flags as they were typed; `check` lowers them.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(generate(node_flags))]
+pub struct NodeFlags {
+    /// Name of the host that this process runs on
+    #[bpaf(long, env("CASSIA_HOST"), argument("NAME"))]
+    host: Option<String>,
+    /// Name of the host's data centre
+    #[bpaf(long, env("CASSIA_DATA_CENTRE"), argument("NAME"))]
+    data_centre: Option<String>,
+    /// Where this process's peers reach it, by TCP and UDP
+    #[bpaf(long, env("CASSIA_LINK"), argument("IP:PORT"))]
+    link: Option<String>,
+    /// Where health, readiness and the state dump are served to operators
+    #[bpaf(long, env("CASSIA_OPS"), argument("IP:PORT"))]
+    ops: Option<String>,
+    /// Where the platform's log is
+    #[bpaf(long, env("CASSIA_LOG"), argument("IP:PORT"))]
+    log: Option<String>,
+    /// Where the replicas of the platform's list of targets are, with commas
+    #[bpaf(long, env("CASSIA_LIST"), argument("IP:PORT,..."))]
+    list: Option<String>,
+    /// Where the weight store is
+    #[bpaf(long, env("CASSIA_WEIGHTS"), argument("IP:PORT"))]
+    weights: Option<String>,
+    /// Where the scorer is; without it samples have no score
+    #[bpaf(long, env("CASSIA_SCORER"), argument("IP:PORT"))]
+    scorer: Option<String>,
+    /// Where some peers may be found at the start, with commas
+    #[bpaf(long, env("CASSIA_SEEDS"), argument("IP:PORT,..."), fallback(String::new()))]
+    seeds: String,
+    /// Where metrics go, as statsd datagrams; without it they are dropped
+    #[bpaf(long, env("CASSIA_STATSD"), argument("IP:PORT"))]
+    statsd: Option<String>,
+    /// How long the balancer may still send requests after readiness is gone,
+    /// in milliseconds
+    #[bpaf(long, env("CASSIA_DRAIN_LAG_MS"), argument("MS"), fallback("3000".to_owned()))]
+    drain_lag_ms: String,
+    /// How long a planned stop waits for requests in flight, in milliseconds
+    #[bpaf(long, env("CASSIA_STOP_LIMIT_MS"), argument("MS"), fallback("60000".to_owned()))]
+    stop_limit_ms: String,
+    /// How long the log keeps records, in seconds
+    #[bpaf(long, env("CASSIA_LOG_RETENTION_S"), argument("S"), fallback("604800".to_owned()))]
+    log_retention_s: String,
+    /// Check the settings and exit
+    #[bpaf(long)]
+    check: bool,
+}
+
+/// What a process does; part of its name among its peers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Takes callers' requests.
+    Entry,
+    /// Serves trainers' pulls.
+    Rollout,
+    /// Gives engines their orders.
+    Control,
+}
+
+/// The shared settings, checked.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// The host's name.
+    pub host: HostId,
+    /// The host's data centre.
+    pub data_centre: DataCentre,
+    /// Where peers reach this process.
+    pub link: SocketAddr,
+    /// Where operators reach it.
+    pub ops: SocketAddr,
+    /// The log.
+    pub log: SocketAddr,
+    /// The replicas of the list of targets.
+    pub list: Vec<SocketAddr>,
+    /// The weight store.
+    pub weights: Option<SocketAddr>,
+    /// The scorer.
+    pub scorer: Option<SocketAddr>,
+    /// Peers to try at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Where metrics go.
+    pub statsd: Option<SocketAddr>,
+    /// How long requests may still come after readiness is gone, in ms.
+    pub drain_lag_ms: u64,
+    /// How long a planned stop waits for requests in flight, in ms.
+    pub stop_limit_ms: u64,
+    /// How long the log keeps records, in seconds.
+    pub log_retention_s: u64,
+    /// Whether to check the settings only.
+    pub check_only: bool,
+}
+
+impl NodeFlags {
+    /// Lowers the flags to checked values, noting every fault.
+    pub fn check(&self, faults: &mut Faults) -> Option<NodeSettings> {
+        let host = faults.name("--host", self.host.as_deref());
+        let data_centre = faults.name("--data-centre", self.data_centre.as_deref());
+        let link = faults.addr("--link", self.link.as_deref());
+        let ops = faults.addr("--ops", self.ops.as_deref());
+        let log = faults.addr("--log", self.log.as_deref());
+        let list = faults.addrs("--list", self.list.as_deref());
+        let weights = faults.optional_addr("--weights", self.weights.as_deref());
+        let scorer = faults.optional_addr("--scorer", self.scorer.as_deref());
+        let seeds = faults.addrs("--seeds", Some(&self.seeds));
+        let statsd = faults.optional_addr("--statsd", self.statsd.as_deref());
+        let drain_lag_ms = faults.number("--drain-lag-ms", &self.drain_lag_ms, 0, 600_000);
+        let stop_limit_ms = faults.number("--stop-limit-ms", &self.stop_limit_ms, 0, 3_600_000);
+        let retention = faults.number("--log-retention-s", &self.log_retention_s, 1, 365 * 86_400);
+        Some(NodeSettings {
+            host: host?,
+            data_centre: data_centre?,
+            link: link?,
+            ops: ops?,
+            log: log?,
+            list: list?,
+            weights,
+            scorer,
+            seeds: seeds?,
+            statsd,
+            drain_lag_ms: drain_lag_ms?,
+            stop_limit_ms: stop_limit_ms?,
+            log_retention_s: retention?,
+            check_only: self.check,
+        })
+    }
+}
+
+/// Settings that can't be accepted, all of them at once.
+#[derive(Debug, thiserror::Error)]
+#[error("settings: {}", .0.join("; "))]
+pub struct SettingsError(Vec<String>);
+
+/// Collects what is wrong with the settings.
+#[derive(Debug, Default)]
+pub struct Faults(Vec<String>);
+
+impl Faults {
+    /// Notes a fault: the flag, the value and what is accepted.
+    pub fn add(&mut self, flag: &str, value: Option<&str>, accepted: &str) {
+        let value = value.map_or_else(|| "missing".to_owned(), |value| format!("{value:?}"));
+        self.0.push(format!("{flag} is {value}; accepted: {accepted}"));
+    }
+
+    /// Ends the checks.
+    ///
+    /// # Errors
+    ///
+    /// Gives all the faults, if there are any.
+    pub fn into_result(self) -> Result<(), SettingsError> {
+        if self.0.is_empty() { Ok(()) } else { Err(SettingsError(self.0)) }
+    }
+
+    /// Checks a name.
+    pub fn name(&mut self, flag: &str, value: Option<&str>) -> Option<SmolStr> {
+        let good = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '.';
+        let checked = value.filter(|v| (1..=64).contains(&v.len()) && v.chars().all(good));
+        if checked.is_none() {
+            self.add(flag, value, "1 to 64 letters, digits, - and .");
+        }
+        checked.map(SmolStr::new)
+    }
+
+    /// Checks an address.
+    pub fn addr(&mut self, flag: &str, value: Option<&str>) -> Option<SocketAddr> {
+        self.parsed(flag, value, "IP:PORT")
+    }
+
+    /// Checks an address that may be missing.
+    pub fn optional_addr(&mut self, flag: &str, value: Option<&str>) -> Option<SocketAddr> {
+        value.and_then(|value| self.addr(flag, Some(value)))
+    }
+
+    /// Checks addresses with commas between them.
+    pub fn addrs(&mut self, flag: &str, value: Option<&str>) -> Option<Vec<SocketAddr>> {
+        let Some(value) = value else {
+            self.add(flag, None, "IP:PORT with commas between");
+            return None;
+        };
+        let parts = value.split(',').filter(|part| !part.is_empty());
+        parts.map(|part| self.addr(flag, Some(part.trim()))).collect()
+    }
+
+    /// Checks a whole number.
+    pub fn number(&mut self, flag: &str, value: &str, low: u64, high: u64) -> Option<u64> {
+        let number = value.parse().ok().filter(|n| (low..=high).contains(n));
+        if number.is_none() {
+            self.add(flag, Some(value), &format!("a whole number from {low} to {high}"));
+        }
+        number
+    }
+
+    fn parsed<T: FromStr>(&mut self, flag: &str, value: Option<&str>, form: &str) -> Option<T> {
+        let parsed = value.and_then(|value| value.parse().ok());
+        if parsed.is_none() {
+            self.add(flag, value, form);
+        }
+        parsed
+    }
+}
+
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Entry => "entry",
+            Self::Rollout => "rollout",
+            Self::Control => "control",
+        })
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,42 @@
+//! Traits for the outside systems, and their HTTP adapters.
+//!
+//! Each outside system stands behind one trait, and each trait has one adapter
+//! module, so that a new form of a system's protocol costs one module. The
+//! crate only speaks to them; what to say is decided elsewhere.
+//!
+//! ```
+//! use cassia_platform::HttpPlatform;
+//!
+//! let platform = HttpPlatform::default();
+//! assert!(format!("{platform:?}").contains("HttpPlatform"));
+//! ```
+
+mod engine;
+mod engine_http;
+mod error;
+mod http_client;
+mod log;
+mod log_http;
+mod platform_http;
+mod services;
+
+pub use crate::engine::Engine;
+pub use crate::engine::Generate;
+pub use crate::engine::Load;
+pub use crate::engine::Order;
+pub use crate::engine::OrderKind;
+pub use crate::engine::Piece;
+pub use crate::engine::Pieces;
+pub use crate::error::ErrorKind;
+pub use crate::error::PlatformError;
+pub use crate::http_client::HttpClient;
+pub use crate::log::Log;
+pub use crate::log::LogPage;
+pub use crate::log::LogRecord;
+pub use crate::log_http::HttpLog;
+pub use crate::platform_http::HttpPlatform;
+pub use crate::services::Latest;
+pub use crate::services::PlainService;
+pub use crate::services::Scorer;
+pub use crate::services::TargetList;
+pub use crate::services::WeightStore;
--- /dev/null
+++ b/crates/platform/src/platform_http.rs
@@ -0,0 +1,167 @@
+//! The adapters over HTTP of the platform's other systems.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cassia_once::Answer;
+use cassia_route::ListCopy;
+use http::Request;
+use http_body_util::Full;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+use crate::ErrorKind;
+use crate::HttpClient;
+use crate::HttpLog;
+use crate::Latest;
+use crate::PlainService;
+use crate::PlatformError;
+use crate::Scorer;
+use crate::TargetList;
+use crate::WeightStore;
+
+/// All of the platform's systems over HTTP.
+#[derive(Debug, Default)]
+pub struct HttpPlatform {
+    client: Arc<HttpClient>,
+    list: Vec<SocketAddr>,
+    next_list: AtomicUsize,
+    weights: Option<SocketAddr>,
+    scorer: Option<SocketAddr>,
+}
+
+#[derive(Serialize)]
+struct ScoreRequest<'a> {
+    prompt: &'a str,
+    text: &'a str,
+}
+
+#[derive(Deserialize)]
+struct Scored {
+    score: f64,
+}
+
+impl HttpPlatform {
+    /// Names the replicas of the list of targets.
+    #[must_use]
+    pub fn with_list(mut self, replicas: Vec<SocketAddr>) -> Self {
+        self.list = replicas;
+        self
+    }
+
+    /// Names the weight store.
+    #[must_use]
+    pub fn with_weights(mut self, addr: Option<SocketAddr>) -> Self {
+        self.weights = addr;
+        self
+    }
+
+    /// Names the scorer.
+    #[must_use]
+    pub fn with_scorer(mut self, addr: Option<SocketAddr>) -> Self {
+        self.scorer = addr;
+        self
+    }
+
+    /// Says whether there is a scorer.
+    #[must_use]
+    pub fn has_scorer(&self) -> bool {
+        self.scorer.is_some()
+    }
+
+    /// Opens a log that shares the connections.
+    #[must_use]
+    pub fn log(&self, addr: SocketAddr) -> HttpLog {
+        HttpLog::new(Arc::clone(&self.client), addr)
+    }
+
+    pub(crate) fn client(&self) -> &Arc<HttpClient> {
+        &self.client
+    }
+}
+
+fn unset(step: &'static str) -> PlatformError {
+    PlatformError {
+        step,
+        peer: SmolStr::new_static("none"),
+        kind: ErrorKind::Connect,
+        detail: "no address in the settings".to_owned(),
+    }
+}
+
+#[async_trait]
+impl TargetList for HttpPlatform {
+    async fn fetch(&self, deadline: Instant) -> Result<ListCopy, PlatformError> {
+        let step = "list of targets";
+        // Each time the next replica, so that one that hangs or lags is not
+        // the only one asked.
+        let turn = self.next_list.fetch_add(1, Ordering::Relaxed);
+        let Some(&replica) = self.list.get(turn % self.list.len().max(1)) else {
+            return Err(unset(step));
+        };
+        self.client.json::<(), _>(step, replica, "/targets", None, deadline).await
+    }
+}
+
+#[async_trait]
+impl WeightStore for HttpPlatform {
+    async fn latest(&self, deadline: Instant) -> Result<Vec<Latest>, PlatformError> {
+        let step = "latest weights";
+        let addr = self.weights.ok_or_else(|| unset(step))?;
+        self.client.json::<(), _>(step, addr, "/latest", None, deadline).await
+    }
+}
+
+#[async_trait]
+impl PlainService for HttpPlatform {
+    async fn call(
+        &self,
+        at: SocketAddr,
+        request_id: &str,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Result<Answer, PlatformError> {
+        let step = "call";
+        let error = |detail: String| PlatformError {
+            step,
+            peer: format_smolstr!("{at}"),
+            kind: ErrorKind::Connect,
+            detail,
+        };
+        let request = Request::post(format!("http://{at}/call"))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .header("cassia-request-id", request_id)
+            .body(Full::new(body))
+            .map_err(|e| error(e.to_string()))?;
+        let response = self.client.answer(step, at, request, deadline).await?;
+        let echoed = response.headers().get("cassia-request-id");
+        if echoed.is_some_and(|echoed| echoed.as_bytes() != request_id.as_bytes()) {
+            let detail = "the answer is another request's".to_owned();
+            return Err(PlatformError { kind: ErrorKind::Garbled, ..error(detail) });
+        }
+        Ok(Answer { status: response.status().as_u16(), body: response.into_body().into() })
+    }
+}
+
+#[async_trait]
+impl Scorer for HttpPlatform {
+    async fn score(
+        &self,
+        prompt: &str,
+        text: &str,
+        deadline: Instant,
+    ) -> Result<f64, PlatformError> {
+        let step = "score";
+        let addr = self.scorer.ok_or_else(|| unset(step))?;
+        let body = ScoreRequest { prompt, text };
+        let scored: Scored = self.client.json(step, addr, "/score", Some(&body), deadline).await?;
+        Ok(scored.score)
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/keepers.rs
@@ -0,0 +1,154 @@
+//! The keepers of this process, one for each trainer that pulls here.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_contract::Contract;
+use cassia_ids::BootId;
+use cassia_ids::CustomerId;
+use cassia_ids::ModelName;
+use cassia_ids::TrainerId;
+use cassia_sample::Keeper;
+use cassia_sample::LotSpec;
+use cassia_sample::Pull;
+use cassia_sample::Pulled;
+use cassia_sample::Sample;
+use cassia_sample::Start;
+use tokio::sync::Notify;
+
+/// A keeper whose trainer hasn't pulled for this long is let go; the trainer's
+/// cursor is all that its next pull needs.
+const FORGET_AFTER: Duration = Duration::from_mins(30);
+
+/// Names a keeper.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct KeeperId {
+    pub(crate) customer: CustomerId,
+    pub(crate) trainer: TrainerId,
+}
+
+/// What the generation for one keeper needs to know.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) id: KeeperId,
+    pub(crate) model: ModelName,
+    pub(crate) priority: u32,
+    pub(crate) share_percent: u32,
+    pub(crate) max_tokens: u32,
+}
+
+#[derive(Debug)]
+struct Entry {
+    keeper: Keeper,
+    job: Job,
+    forget_at: Instant,
+}
+
+/// All keepers of this process.
+#[derive(Debug, Default)]
+pub(crate) struct Keepers {
+    entries: Mutex<BTreeMap<KeeperId, Entry>>,
+    next_number: AtomicU64,
+    /// Wakes pulls that wait for samples.
+    pub(crate) finished: Notify,
+    /// Wakes the pump when there may be samples to start.
+    pub(crate) wanted: Notify,
+}
+
+/// What a dump shows of a keeper.
+#[derive(Debug, serde::Serialize)]
+pub(crate) struct KeeperState {
+    customer: CustomerId,
+    trainer: TrainerId,
+    done: u64,
+    running: usize,
+    lots_ahead: usize,
+    counts: cassia_sample::Counts,
+}
+
+impl Keepers {
+    /// Answers a pull from what is kept.
+    pub(crate) fn pull(&self, boot: BootId, contract: &Contract, job: Job, pull: &Pull) -> Pulled {
+        let mut entries = self.lock();
+        let now = Instant::now();
+        entries.retain(|_, entry| now < entry.forget_at);
+        let spec = lot_spec(contract);
+        let forget_at = now + FORGET_AFTER;
+        let entry = entries.entry(job.id.clone()).or_insert_with(|| Entry {
+            keeper: Keeper::new(boot, self.next_number.fetch_add(1, Ordering::Relaxed), spec),
+            job: job.clone(),
+            forget_at,
+        });
+        entry.keeper.respec(spec);
+        entry.job = job;
+        entry.forget_at = forget_at;
+        let pulled = entry.keeper.pull(pull);
+        drop(entries);
+        self.wanted.notify_one();
+        pulled
+    }
+
+    /// Lists what is to be generated, with the samples running already.
+    pub(crate) fn jobs(&self) -> Vec<(Job, usize)> {
+        let entries = self.lock();
+        entries.values().map(|e| (e.job.clone(), e.keeper.running_samples())).collect()
+    }
+
+    pub(crate) fn start(&self, id: &KeeperId, room: usize) -> Vec<Start> {
+        self.lock().get_mut(id).map_or_else(Vec::new, |e| e.keeper.start(room))
+    }
+
+    pub(crate) fn wants(&self, id: &KeeperId, start: &Start) -> bool {
+        self.lock().get(id).is_some_and(|e| e.keeper.wants(start.prompt, &start.id))
+    }
+
+    pub(crate) fn end(&self, id: &KeeperId, start: &Start, sample: Option<Sample>) {
+        if let Some(entry) = self.lock().get_mut(id) {
+            match sample {
+                Some(sample) => entry.keeper.finished(sample),
+                None => entry.keeper.failed(start.prompt, &start.id),
+            }
+        }
+        self.finished.notify_waiters();
+        self.wanted.notify_one();
+    }
+
+    pub(crate) fn state(&self) -> Vec<KeeperState> {
+        let entries = self.lock();
+        entries
+            .iter()
+            .map(|(id, e)| KeeperState {
+                customer: id.customer.clone(),
+                trainer: id.trainer.clone(),
+                done: e.keeper.done_samples(),
+                running: e.keeper.running_samples(),
+                lots_ahead: e.keeper.lots_ahead(),
+                counts: e.keeper.counts(),
+            })
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<KeeperId, Entry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn lot_spec(contract: &Contract) -> LotSpec {
+    let size = |n: u32| usize::try_from(n).unwrap_or(usize::MAX);
+    LotSpec {
+        groups: size(contract.lot.groups),
+        group_size: size(contract.lot.group_size),
+        staleness_bound: contract.staleness_bound,
+        idle_weight_percent: contract.idle_weight_percent,
+    }
+}
+
+/// Shares the keepers between the interface and the pump.
+pub(crate) type SharedKeepers = Arc<Keepers>;
--- /dev/null
+++ b/crates/rollout/src/pump.rs
@@ -0,0 +1,175 @@
+//! The controller that starts samples and sees them through.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_platform::Generate;
+use cassia_platform::Piece;
+use cassia_platform::PlatformError;
+use cassia_route::Choice;
+use cassia_route::Policy;
+use cassia_route::TargetKind;
+use cassia_route::Use;
+use cassia_sample::Label;
+use cassia_sample::Labeller;
+use cassia_sample::Sample;
+use cassia_sample::Start;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::keepers::Job;
+
+/// How often the pump looks when nothing wakes it.
+const EVERY: Duration = Duration::from_millis(100);
+/// The longest that one sample may take.
+const SAMPLE_LIMIT: Duration = Duration::from_mins(10);
+/// Engines that one sample is resumed on at most.
+const MOST_ATTEMPTS: u32 = 8;
+/// Pause before the next attempt.
+const PAUSE: Duration = Duration::from_millis(50);
+/// How long an engine is avoided after it failed.
+const AVOID: Duration = Duration::from_secs(1);
+const SCORE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Slots that are left free for callers, as a part of all: one in this many.
+const FREE_FOR_CALLERS: u32 = 8;
+
+/// How an attempt at one engine ended.
+enum Attempt {
+    Whole,
+    Preempted,
+    Failed(PlatformError),
+    NotWanted,
+}
+
+/// Runs until the process ends.
+pub(crate) async fn run(app: Arc<App>) {
+    loop {
+        let _ = timeout(EVERY, app.keepers.wanted.notified()).await;
+        if app.board.is_stopping() {
+            continue;
+        }
+        for (job, running) in app.keepers.jobs() {
+            let in_use = u32::try_from(running).unwrap_or(u32::MAX);
+            let room = room(&app, &job, in_use).saturating_sub(running);
+            for start in app.keepers.start(&job.id, room) {
+                tokio::spawn(see_through(Arc::clone(&app), job.clone(), start));
+            }
+        }
+    }
+}
+
+/// How many samples of a job may run at once: the customer's share of what
+/// callers leave free, or all that other trainers don't use of it. A share
+/// that is lent comes back as the other's samples end, since the other one
+/// then sees these here in the engines' reports.
+fn room(app: &App, job: &Job, running: u32) -> usize {
+    let kind = TargetKind::Engine { model: job.model.clone() };
+    let slots = app.board.slots.load().get(&kind).copied().unwrap_or(0);
+    let targets = app.board.targets.load();
+    let engines = targets.of_kind(&kind).iter();
+    let callers: u32 = engines.clone().map(|t| t.callers()).sum();
+    let rollouts: u32 = engines.map(|t| t.load().saturating_sub(t.callers())).sum();
+    let free = slots.saturating_sub(callers + slots.div_ceil(FREE_FOR_CALLERS));
+    let others = rollouts.saturating_sub(running);
+    let room = (free * job.share_percent / 100).max(free.saturating_sub(others));
+    usize::try_from(room.max(1)).unwrap_or(usize::MAX)
+}
+
+async fn see_through(app: Arc<App>, job: Job, start: Start) {
+    let sample = generate(&app, &job, &start).await;
+    if sample.is_none() {
+        // A failure must not turn into a tight loop of new samples.
+        sleep(PAUSE).await;
+    }
+    app.keepers.end(&job.id, &start, sample);
+}
+
+async fn generate(app: &App, job: &Job, start: &Start) -> Option<Sample> {
+    let deadline = Instant::now() + SAMPLE_LIMIT;
+    let kind = TargetKind::Engine { model: job.model.clone() };
+    let mut request = Generate {
+        request_id: start.id.clone(),
+        model: job.model.clone(),
+        prompt: start.text.clone(),
+        so_far: String::new(),
+        tokens_so_far: 0,
+        max_tokens: job.max_tokens,
+        priority: job.priority,
+    };
+    let mut labeller = Labeller::default();
+    let mut failures = 0;
+    while failures < MOST_ATTEMPTS && app.keepers.wants(&job.id, start) {
+        let Some(used) = choose(app, &kind) else {
+            failures += 1;
+            sleep(PAUSE).await;
+            continue;
+        };
+        match attempt(app, job, start, &used, &mut request, &mut labeller, deadline).await {
+            Attempt::Whole => {
+                let label = labeller.finish().ok()?;
+                return Some(score(app, start, request.so_far, label).await);
+            }
+            Attempt::Preempted => sleep(PAUSE).await,
+            Attempt::NotWanted => return None,
+            Attempt::Failed(e) => {
+                failures += 1;
+                let until = Instant::now() + AVOID;
+                app.board.targets.load().avoid(used.target(), until);
+                let (peer, id) = (e.peer.as_str(), start.id.as_str());
+                log::info!(event = "sample_moved", step = e.step, peer, request_id = id; "{e}");
+            }
+        }
+    }
+    None
+}
+
+fn choose(app: &App, kind: &TargetKind) -> Option<Use> {
+    let targets = app.board.targets.load();
+    match targets.choose(kind, Policy::TwoChoices, None, None, Instant::now()) {
+        Choice::Target(target) => target.begin(),
+        Choice::NoneOpen => None,
+    }
+}
+
+async fn attempt(
+    app: &App,
+    job: &Job,
+    start: &Start,
+    used: &Use,
+    request: &mut Generate,
+    labeller: &mut Labeller,
+    deadline: Instant,
+) -> Attempt {
+    let at = used.target().listed.addr;
+    let mut pieces = match app.engine.generate(at, request, deadline).await {
+        Ok(pieces) => pieces,
+        Err(e) => return Attempt::Failed(e),
+    };
+    loop {
+        match pieces.next(deadline).await {
+            Ok(Piece::Tokens { text, count, version }) => {
+                labeller.tokens(count, version);
+                request.so_far.push_str(&text);
+                request.tokens_so_far += count;
+            }
+            Ok(Piece::Cached { version }) => labeller.cached(version),
+            Ok(Piece::Preempted) => return Attempt::Preempted,
+            Ok(Piece::Done) => return Attempt::Whole,
+            Err(e) => return Attempt::Failed(e),
+        }
+        if !app.keepers.wants(&job.id, start) {
+            return Attempt::NotWanted;
+        }
+    }
+}
+
+async fn score(app: &App, start: &Start, text: String, label: Label) -> Sample {
+    let mut score = None;
+    if let Some(scorer) = &app.scorer {
+        let deadline = Instant::now() + SCORE_TIMEOUT;
+        score = scorer.score(&start.text, &text, deadline).await.ok();
+    }
+    Sample { id: start.id.clone(), prompt: start.prompt, text, label, score }
+}
--- /dev/null
+++ b/crates/route/src/budget.rs
@@ -0,0 +1,40 @@
+//! How many retries are worth sending.
+
+/// Retries earned by one success, in hundredths.
+const EARNED_PER_SUCCESS: u32 = 10;
+/// What one retry costs, in hundredths.
+const RETRY_COST: u32 = 100;
+/// Most that is saved up, in hundredths: ten retries.
+const MOST_SAVED: u32 = 1_000;
+
+/// A share of the successes may be spent on retries.
+///
+/// In an outage successes stop and so do retries: attempts a request tend to
+/// at most 1.1, however many callers there are.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    saved: u32,
+}
+
+impl Default for Budget {
+    /// Begins with one retry, so that a quiet customer's first failure has it.
+    fn default() -> Self {
+        Self { saved: RETRY_COST }
+    }
+}
+
+impl Budget {
+    /// Takes a success in.
+    pub fn succeeded(&mut self) {
+        self.saved = (self.saved + EARNED_PER_SUCCESS).min(MOST_SAVED);
+    }
+
+    /// Spends one retry, if there is one.
+    pub fn try_retry(&mut self) -> bool {
+        let enough = self.saved >= RETRY_COST;
+        if enough {
+            self.saved -= RETRY_COST;
+        }
+        enough
+    }
+}
--- /dev/null
+++ b/crates/route/src/choose.rs
@@ -0,0 +1,290 @@
+//! Which target a request goes to.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::Rng;
+
+use crate::Listed;
+use crate::TargetKind;
+use crate::subset::weight;
+
+/// After this time a load report counts half, after twice the time a quarter.
+const REPORT_HALF_LIFE_MS: u64 = 500;
+/// A score counts requests a slot in units of one over this.
+const SCORE_UNIT: u64 = 1_024;
+/// How much worse than the better of two random targets the one with the
+/// prompt's prefix in its cache may be, in score units.
+const AFFINITY_ALLOWANCE: u64 = SCORE_UNIT / 4;
+
+/// How a target is chosen among the open ones.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Policy {
+    /// The better of two random ones, by own requests and aged load reports.
+    #[default]
+    TwoChoices,
+    /// Any one; the baseline.
+    Random,
+    /// The one with the least reported load; the baseline that herds.
+    LeastReported,
+}
+
+/// One target as this process sees it; shared and updated without locks.
+#[derive(Debug)]
+pub struct Target {
+    /// What the list says of it.
+    pub listed: Listed,
+    open: AtomicBool,
+    in_flight: AtomicU32,
+    /// What others had at the target when it last reported.
+    others: AtomicU32,
+    /// Requests of callers at the target, of all processes, by its report.
+    callers: AtomicU32,
+    /// When the report was made, in milliseconds of the set's clock.
+    reported_ms: AtomicU64,
+    /// Until when it is avoided after a failure.
+    avoided_until_ms: AtomicU64,
+}
+
+/// The targets of this process; replaced whole when the list changes.
+#[derive(Debug)]
+pub struct TargetSet {
+    started: Instant,
+    by_kind: BTreeMap<TargetKind, Vec<Arc<Target>>>,
+}
+
+/// Whether there is a target for a request.
+#[derive(Debug)]
+pub enum Choice {
+    /// This one.
+    Target(Arc<Target>),
+    /// None that is open.
+    NoneOpen,
+}
+
+/// A request at a target; counted until it is dropped.
+#[derive(Debug)]
+pub struct Use(Arc<Target>);
+
+impl Target {
+    fn new(listed: Listed) -> Self {
+        Self {
+            open: AtomicBool::new(!listed.leaving),
+            listed,
+            in_flight: AtomicU32::new(0),
+            others: AtomicU32::new(0),
+            callers: AtomicU32::new(0),
+            reported_ms: AtomicU64::new(0),
+            avoided_until_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Says whether it may get new work; looked at again before each write.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.open.load(Ordering::Acquire)
+    }
+
+    /// Stops new work at once, also for requests that have chosen it already.
+    pub fn close(&self) {
+        self.open.store(false, Ordering::Release);
+    }
+
+    /// Counts this process's requests at it.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts all requests at it: this process's now, and the others' as of
+    /// its last report.
+    #[must_use]
+    pub fn load(&self) -> u32 {
+        self.in_flight() + self.others.load(Ordering::Relaxed)
+    }
+
+    /// Counts the callers' requests at it, as of its last report.
+    #[must_use]
+    pub fn callers(&self) -> u32 {
+        self.callers.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request in, if the target is still open.
+    #[must_use]
+    pub fn begin(self: &Arc<Self>) -> Option<Use> {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        let counted = Use(Arc::clone(self));
+        self.is_open().then_some(counted)
+    }
+
+    fn score(&self, now_ms: u64) -> u64 {
+        let age = now_ms.saturating_sub(self.reported_ms.load(Ordering::Relaxed));
+        let halvings = u32::try_from(age / REPORT_HALF_LIFE_MS).unwrap_or(u32::MAX);
+        let others = u64::from(self.others.load(Ordering::Relaxed)) * SCORE_UNIT;
+        let others = others.checked_shr(halvings).unwrap_or(0);
+        let own = u64::from(self.in_flight()) * SCORE_UNIT;
+        (own + others) / u64::from(self.listed.slots.max(1))
+    }
+
+    fn is_avoided(&self, now_ms: u64) -> bool {
+        now_ms < self.avoided_until_ms.load(Ordering::Relaxed)
+    }
+}
+
+impl Use {
+    /// Gives the target.
+    #[must_use]
+    pub fn target(&self) -> &Arc<Target> {
+        &self.0
+    }
+}
+
+impl Drop for Use {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl TargetSet {
+    /// Sets up an empty set; the moments of all later sets count from `now`.
+    #[must_use]
+    pub fn empty(now: Instant) -> Self {
+        Self { started: now, by_kind: BTreeMap::new() }
+    }
+
+    /// Builds the set for a changed list; what is known of a target stays.
+    #[must_use]
+    pub fn updated<'a>(&self, listed: impl IntoIterator<Item = &'a Listed>) -> Self {
+        let mut by_kind: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for listed in listed {
+            let same = self.find(listed);
+            let target = same.unwrap_or_else(|| Arc::new(Target::new(listed.clone())));
+            if listed.leaving {
+                target.close();
+            }
+            by_kind.entry(listed.what.clone()).or_default().push(target);
+        }
+        let updated = Self { started: self.started, by_kind };
+        // What dropped out may still be chosen from the old set by a request
+        // that is under way.
+        for gone in self.all().filter(|old| updated.find(&old.listed).is_none()) {
+            gone.close();
+        }
+        updated
+    }
+
+    /// Lists all targets.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.by_kind.values().flatten()
+    }
+
+    /// Lists the targets of one kind.
+    #[must_use]
+    pub fn of_kind(&self, kind: &TargetKind) -> &[Arc<Target>] {
+        self.by_kind.get(kind).map_or(&[], Vec::as_slice)
+    }
+
+    /// Counts the slots of the open targets of one kind.
+    #[must_use]
+    pub fn slots(&self, kind: &TargetKind) -> u32 {
+        self.of_kind(kind).iter().filter(|t| t.is_open()).map(|t| t.listed.slots).sum()
+    }
+
+    /// Takes a load report in: `load` requests at the target, `callers` of them
+    /// not of trainers, `age` ago.
+    pub fn reported(&self, target: &Target, load: u32, callers: u32, age: Duration, now: Instant) {
+        target.callers.store(callers, Ordering::Relaxed);
+        let others = load.saturating_sub(target.in_flight());
+        let at_ms = self.millis(now).saturating_sub(millis(age));
+        target.others.store(others, Ordering::Relaxed);
+        target.reported_ms.store(at_ms, Ordering::Relaxed);
+    }
+
+    /// Avoids a target until a moment, after it failed.
+    pub fn avoid(&self, target: &Target, until: Instant) {
+        target.avoided_until_ms.fetch_max(self.millis(until), Ordering::Relaxed);
+    }
+
+    /// Chooses a target of a kind.
+    ///
+    /// `affinity` is a hash of the prompt's prefix: requests that share it go
+    /// to the same engine as long as that one is not much busier. `not` is a
+    /// target that has just failed for this request.
+    #[must_use]
+    pub fn choose(
+        &self,
+        kind: &TargetKind,
+        policy: Policy,
+        affinity: Option<u64>,
+        not: Option<&str>,
+        now: Instant,
+    ) -> Choice {
+        let all = self.of_kind(kind);
+        let now_ms = self.millis(now);
+        let fit = |t: &Arc<Target>| t.is_open() && not != Some(t.listed.id.as_str());
+        let good = |t: &Arc<Target>| fit(t) && !t.is_avoided(now_ms);
+        let found = match policy {
+            Policy::TwoChoices => two_choices(all, affinity, now_ms, good),
+            Policy::Random => any(all, good),
+            Policy::LeastReported => least_reported(all, good),
+        };
+        // One that is avoided, or that failed for this request already, is
+        // still better than none.
+        let found = found.or_else(|| any(all, fit)).or_else(|| any(all, |t| t.is_open()));
+        found.map_or(Choice::NoneOpen, |t| Choice::Target(Arc::clone(t)))
+    }
+
+    fn find(&self, listed: &Listed) -> Option<Arc<Target>> {
+        let same = |t: &&Arc<Target>| {
+            t.listed.id == listed.id && t.listed.incarnation == listed.incarnation
+        };
+        self.of_kind(&listed.what).iter().find(same).cloned()
+    }
+
+    fn millis(&self, now: Instant) -> u64 {
+        millis(now.saturating_duration_since(self.started))
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Finds a fit target, from a random place on.
+fn any(all: &[Arc<Target>], fit: impl Fn(&Arc<Target>) -> bool) -> Option<&Arc<Target>> {
+    if all.is_empty() {
+        return None;
+    }
+    let (before, after) = all.split_at(rand::rng().random_range(0..all.len()));
+    after.iter().chain(before).find(|t| fit(t))
+}
+
+fn two_choices(
+    all: &[Arc<Target>],
+    affinity: Option<u64>,
+    now_ms: u64,
+    good: impl Fn(&Arc<Target>) -> bool,
+) -> Option<&Arc<Target>> {
+    let one = any(all, &good)?;
+    let two = any(all, &good)?;
+    let better = if two.score(now_ms) < one.score(now_ms) { two } else { one };
+    let Some(prefix) = affinity else {
+        return Some(better);
+    };
+    let home = all.iter().filter(|t| good(t)).max_by_key(|t| weight(prefix, &t.listed.id))?;
+    let bound = better.score(now_ms) + AFFINITY_ALLOWANCE;
+    Some(if home.score(now_ms) <= bound { home } else { better })
+}
+
+fn least_reported(
+    all: &[Arc<Target>],
+    good: impl Fn(&Arc<Target>) -> bool,
+) -> Option<&Arc<Target>> {
+    all.iter().filter(|t| good(t)).min_by_key(|t| t.others.load(Ordering::Relaxed))
+}
--- /dev/null
+++ b/crates/standin/src/list.rs
@@ -0,0 +1,100 @@
+//! The platform's list of targets: replicas that lag by different amounts.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cassia_route::ListCopy;
+use cassia_route::Listed;
+use http::Request;
+use serde_json::json;
+
+use crate::Handler;
+use crate::Reply;
+use crate::Server;
+use crate::serve::lock;
+
+/// The list, with its replicas.
+#[derive(Debug)]
+pub struct ListStandin {
+    replicas: Vec<(Server, Arc<Replica>)>,
+    current: Mutex<ListCopy>,
+}
+
+#[derive(Debug, Default)]
+struct Replica {
+    copy: Mutex<ListCopy>,
+    frozen: Mutex<bool>,
+}
+
+impl ListStandin {
+    /// Starts the list with some replicas.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had.
+    pub async fn start(replicas: usize) -> io::Result<Self> {
+        let mut started = Vec::new();
+        for _ in 0..replicas {
+            let replica = Arc::new(Replica::default());
+            started.push((Server::start(Arc::clone(&replica) as _).await?, replica));
+        }
+        Ok(Self { replicas: started, current: Mutex::default() })
+    }
+
+    /// Tells where the replicas listen.
+    #[must_use]
+    pub fn addrs(&self) -> Vec<SocketAddr> {
+        self.replicas.iter().map(|(server, _)| server.addr()).collect()
+    }
+
+    /// Adds a target or replaces what is listed of it.
+    pub fn put(&self, listed: Listed) {
+        self.change(|targets| {
+            targets.retain(|t| t.id != listed.id);
+            targets.push(listed);
+        });
+    }
+
+    /// Marks a target as leaving.
+    pub fn leave(&self, id: &str) {
+        self.change(|targets| {
+            targets.iter_mut().filter(|t| t.id == id).for_each(|t| t.leaving = true);
+        });
+    }
+
+    /// Removes a target.
+    pub fn remove(&self, id: &str) {
+        self.change(|targets| targets.retain(|t| t.id != id));
+    }
+
+    /// Keeps a replica at its present copy, or lets it catch up.
+    pub fn set_frozen(&self, replica: usize, frozen: bool) {
+        let replica = &self.replicas[replica].1;
+        *lock(&replica.frozen) = frozen;
+        if !frozen {
+            lock(&replica.copy).clone_from(&lock(&self.current));
+        }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Vec<Listed>)) {
+        let mut current = lock(&self.current);
+        change(&mut current.targets);
+        current.seq += 1;
+        for (_, replica) in &self.replicas {
+            if !*lock(&replica.frozen) {
+                lock(&replica.copy).clone_from(&current);
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for Replica {
+    async fn handle(&self, _: Request<Bytes>) -> Reply {
+        Reply::Json(200, json!(*lock(&self.copy)))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,216 @@
+//! The log service: offsets, an append rate limit, limited retention, outages,
+//! and answers that are lost after the append took effect.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cassia_ids::Offset;
+use cassia_platform::LogPage;
+use cassia_platform::LogRecord;
+use http::Method;
+use http::Request;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Notify;
+
+use crate::Handler;
+use crate::Reply;
+use crate::Server;
+use crate::serve::lock;
+
+/// Records that one read gives at most.
+const MOST_RECORDS_A_READ: usize = 500;
+/// Appends a second that are taken before 429.
+const APPENDS_PER_SECOND: u32 = 300;
+
+/// A log service.
+#[derive(Debug)]
+pub struct LogStandin {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    appended: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    streams: BTreeMap<String, Stream>,
+    down: bool,
+    lose_answers: u32,
+    appends: u64,
+    reads: u64,
+    second: Option<(Instant, u32)>,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first: Offset,
+    records: VecDeque<String>,
+}
+
+impl LogStandin {
+    /// Starts the service.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had.
+    pub async fn start() -> io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        let server = Server::start(Arc::clone(&shared) as _).await?;
+        Ok(Self { server, shared })
+    }
+
+    /// Tells where it listens.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Begins or ends an outage, in which requests get no answer.
+    pub fn set_down(&self, down: bool) {
+        lock(&self.shared.state).down = down;
+    }
+
+    /// Loses the answers of the next appends after they took effect.
+    pub fn lose_answers(&self, count: u32) {
+        lock(&self.shared.state).lose_answers = count;
+    }
+
+    /// Drops the records of a stream before an offset, as retention does.
+    pub fn expire_before(&self, stream: &str, offset: Offset) {
+        if let Some(stream) = lock(&self.shared.state).streams.get_mut(stream) {
+            while stream.first < offset && stream.records.pop_front().is_some() {
+                stream.first += 1;
+            }
+        }
+    }
+
+    /// Gives the records of a stream that are kept.
+    #[must_use]
+    pub fn records(&self, stream: &str) -> Vec<String> {
+        let state = lock(&self.shared.state);
+        state.streams.get(stream).map_or_else(Vec::new, |s| s.records.iter().cloned().collect())
+    }
+
+    /// Counts the appends that took effect.
+    #[must_use]
+    pub fn appends(&self) -> u64 {
+        lock(&self.shared.state).appends
+    }
+
+    /// Counts the reads.
+    #[must_use]
+    pub fn reads(&self) -> u64 {
+        lock(&self.shared.state).reads
+    }
+}
+
+impl Shared {
+    fn append(&self, stream: &str, body: &Bytes) -> Reply {
+        let Ok(Value::Object(body)) = serde_json::from_slice(body) else {
+            return Reply::Json(400, json!({"error": "not an object"}));
+        };
+        let Some(record) = body.get("record").and_then(Value::as_str) else {
+            return Reply::Json(400, json!({"error": "no record"}));
+        };
+        let mut state = lock(&self.state);
+        if !state.within_rate() {
+            return Reply::Json(429, json!({"error": "too many appends"}));
+        }
+        state.appends += 1;
+        let stream = state.streams.entry(stream.to_owned()).or_default();
+        stream.records.push_back(record.to_owned());
+        let offset = stream.end() - 1;
+        self.appended.notify_waiters();
+        if state.lose_answers > 0 {
+            state.lose_answers -= 1;
+            return Reply::Cut;
+        }
+        Reply::Json(200, json!({"offset": offset}))
+    }
+
+    async fn read(&self, stream: &str, query: &str) -> Reply {
+        let from = parameter(query, "from");
+        let deadline = Instant::now() + Duration::from_millis(parameter(query, "wait_ms"));
+        lock(&self.state).reads += 1;
+        loop {
+            let appended = self.appended.notified();
+            let page = lock(&self.state).page(stream, from);
+            if !page.records.is_empty() || Instant::now() >= deadline {
+                return Reply::Json(200, serde_json::to_value(page).unwrap_or_default());
+            }
+            tokio::select! {
+                () = appended => {}
+                () = tokio::time::sleep_until(deadline.into()) => {}
+            }
+        }
+    }
+}
+
+impl State {
+    fn within_rate(&mut self) -> bool {
+        let now = Instant::now();
+        let (since, count) = self.second.unwrap_or((now, 0));
+        let (since, count) =
+            if now >= since + Duration::from_secs(1) { (now, 0) } else { (since, count) };
+        self.second = Some((since, count + 1));
+        count < APPENDS_PER_SECOND
+    }
+
+    fn page(&self, stream: &str, from: Offset) -> LogPage {
+        let Some(stream) = self.streams.get(stream) else {
+            return LogPage::default();
+        };
+        let skip = usize::try_from(from.saturating_sub(stream.first)).unwrap_or(usize::MAX);
+        let offsets = stream.first..;
+        let records = offsets
+            .zip(&stream.records)
+            .skip(skip)
+            .take(MOST_RECORDS_A_READ)
+            .map(|(offset, record)| LogRecord { offset, record: record.clone() })
+            .collect();
+        LogPage { first: stream.first, end: stream.end(), records }
+    }
+}
+
+impl Stream {
+    fn end(&self) -> Offset {
+        self.first + self.records.len() as Offset
+    }
+}
+
+fn parameter(query: &str, name: &str) -> u64 {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).find_map(|(_, v)| v.parse().ok()).unwrap_or(0)
+}
+
+#[async_trait]
+impl Handler for Shared {
+    async fn handle(&self, request: Request<Bytes>) -> Reply {
+        if lock(&self.state).down {
+            return Reply::Hang;
+        }
+        let path = request.uri().path();
+        let Some(stream) =
+            path.strip_prefix("/streams/").and_then(|rest| rest.strip_suffix("/records"))
+        else {
+            return Reply::Json(404, json!({"error": "no such path"}));
+        };
+        if request.method() == Method::POST {
+            return self.append(stream, request.body());
+        }
+        self.read(stream, request.uri().query().unwrap_or_default()).await
+    }
+}
--- /dev/null
+++ b/crates/standin/src/serve.rs
@@ -0,0 +1,169 @@
+//! A small HTTP server whose answers can be withheld or cut off.
+
+use std::convert::Infallible;
+use std::fmt::Debug;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::StreamExt;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+
+/// One part of a streamed answer; an error cuts the answer off.
+pub(crate) type Part = Result<Bytes, io::Error>;
+
+/// How a stand-in answers one request.
+#[derive(Debug)]
+pub enum Reply {
+    /// With a JSON body.
+    Json(u16, Value),
+    /// With these bytes and headers.
+    Bytes(u16, Vec<(&'static str, String)>, Bytes),
+    /// With server-sent events.
+    Stream(mpsc::Receiver<Part>),
+    /// Not at all, with the connection left open.
+    Hang,
+    /// By closing the connection.
+    Cut,
+}
+
+/// Answers the requests of one server.
+#[async_trait]
+pub trait Handler: Debug + Send + Sync + 'static {
+    /// Answers one request.
+    async fn handle(&self, request: Request<Bytes>) -> Reply;
+}
+
+/// A server on a loopback port; it stops when dropped.
+#[derive(Debug)]
+pub struct Server {
+    addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Starts a server on a free port.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had.
+    pub async fn start(handler: Arc<dyn Handler>) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::on(listener, handler)
+    }
+
+    /// Starts a server on a port that is bound already.
+    ///
+    /// # Errors
+    ///
+    /// The port's address can't be read.
+    pub fn on(listener: TcpListener, handler: Arc<dyn Handler>) -> io::Result<Self> {
+        let addr = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, handler));
+        Ok(Self { addr, task })
+    }
+
+    /// Tells where it listens.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Stops at once, with all of its connections.
+    pub fn crash(&self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, handler: Arc<dyn Handler>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let _ = stream.set_nodelay(true);
+                let handler = Arc::clone(&handler);
+                let service = service_fn(move |request| respond(Arc::clone(&handler), request));
+                let connection = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service);
+                connections.spawn(async move {
+                    let _ = connection.await;
+                });
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+async fn respond(
+    handler: Arc<dyn Handler>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, io::Error> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    match handler.handle(Request::from_parts(head, body)).await {
+        Reply::Json(status, value) => {
+            let bytes = Bytes::from(value.to_string());
+            response(status, &[("content-type", "application/json".to_owned())], full(bytes))
+        }
+        Reply::Bytes(status, headers, bytes) => response(status, &headers, full(bytes)),
+        Reply::Stream(rx) => {
+            let parts = futures::stream::unfold(rx, |mut rx| async move {
+                rx.recv().await.map(|part| (part, rx))
+            });
+            let body = StreamBody::new(parts.map(|part| part.map(Frame::data)));
+            let headers = [("content-type", "text/event-stream".to_owned())];
+            response(200, &headers, body.boxed_unsync())
+        }
+        Reply::Hang => std::future::pending().await,
+        Reply::Cut => Err(io::ErrorKind::ConnectionReset.into()),
+    }
+}
+
+fn full(bytes: Bytes) -> Body {
+    Full::new(bytes).map_err(|e: Infallible| match e {}).boxed_unsync()
+}
+
+fn response(
+    status: u16,
+    headers: &[(&'static str, String)],
+    body: Body,
+) -> Result<Response<Body>, io::Error> {
+    let mut builder = Response::builder().status(status);
+    for (name, value) in headers {
+        builder = builder.header(*name, value);
+    }
+    builder.body(body).map_err(io::Error::other)
+}
+
+/// Locks what a handler shares with its fault switches.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/trials/src/client.rs
@@ -0,0 +1,98 @@
+//! A caller of the programs' HTTP interfaces.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use tokio::time::timeout;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A caller with a key.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    key: String,
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    /// The HTTP status; 0 if there was no whole answer.
+    pub status: u16,
+    /// The body, if it is JSON.
+    pub body: Value,
+}
+
+impl Reply {
+    /// Gives a field of the body as text.
+    #[must_use]
+    pub fn text(&self, field: &str) -> &str {
+        self.body[field].as_str().unwrap_or_default()
+    }
+}
+
+impl Caller {
+    /// Sets a caller up.
+    #[must_use]
+    pub fn new(key: &str) -> Self {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        Self { client, key: key.to_owned() }
+    }
+
+    /// Sends a GET.
+    pub async fn get(&self, to: SocketAddr, path: &str) -> Reply {
+        let request = Request::get(format!("http://{to}{path}")).body(Full::default());
+        self.send(request).await
+    }
+
+    /// Sends a POST with some headers.
+    pub async fn post(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &Value,
+    ) -> Reply {
+        let mut builder = Request::post(format!("http://{to}{path}"))
+            .header("content-type", "application/json")
+            .header("authorization", format!("Bearer {}", self.key));
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        self.send(builder.body(Full::new(Bytes::from(body.to_string())))).await
+    }
+
+    /// Gets a ticket for a non-idempotent route; empty if there is none.
+    pub async fn ticket(&self, to: SocketAddr, path: &str) -> String {
+        let reply = self.post(to, path, &[], &serde_json::json!({})).await;
+        reply.text("ticket").to_owned()
+    }
+
+    /// Sends a request under a ticket.
+    pub async fn redeem(&self, to: SocketAddr, path: &str, ticket: &str, body: &Value) -> Reply {
+        self.post(to, path, &[("cassia-ticket", ticket)], body).await
+    }
+
+    async fn send(&self, request: http::Result<Request<Full<Bytes>>>) -> Reply {
+        let none = Reply { status: 0, body: Value::Null };
+        let Ok(request) = request else {
+            return none;
+        };
+        let whole = async {
+            let response = self.client.request(request).await.ok()?;
+            let status = response.status().as_u16();
+            let bytes = response.into_body().collect().await.ok()?.to_bytes();
+            let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+            Some(Reply { status, body })
+        };
+        timeout(TIMEOUT, whole).await.ok().flatten().unwrap_or(none)
+    }
+}
--- /dev/null
+++ b/crates/trials/src/lib.rs
@@ -0,0 +1,29 @@
+//! Trials of the real programs against the stand-ins.
+//!
+//! The crate starts the shipped programs as processes on loopback ports, with
+//! the stand-ins inside the trial, so that a trial can kill, freeze and cut
+//! what it likes. It is for tests and for the demonstration; it is not
+//! shipped, and no shipped process starts another.
+//!
+//! ```no_run
+//! # tokio::runtime::Runtime::new().unwrap().block_on(async {
+//! let mut trial = cassia_trials::Trial::start().await.unwrap();
+//! trial.start_entry("h1").await.unwrap();
+//! # });
+//! ```
+
+mod client;
+mod contracts;
+mod process;
+mod trial;
+
+pub use crate::client::Caller;
+pub use crate::client::Reply;
+pub use crate::contracts::LESERBILD_KEY;
+pub use crate::contracts::SAVANNA_KEY;
+pub use crate::contracts::leserbild;
+pub use crate::contracts::savanna;
+pub use crate::process::Process;
+pub use crate::trial::Trial;
+pub use crate::trial::eventually;
+pub use crate::trial::revision_at;
--- /dev/null
+++ b/crates/trials/src/process.rs
@@ -0,0 +1,158 @@
+//! The shipped programs as processes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+
+/// A running program; it is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    command: Vec<String>,
+    program: &'static str,
+    /// Where callers or trainers reach it, if it takes any.
+    pub listen: SocketAddr,
+    /// Where its peers reach it.
+    pub link: SocketAddr,
+    /// Where operators reach it.
+    pub ops: SocketAddr,
+}
+
+/// Finds a shipped program beside the running one.
+///
+/// # Errors
+///
+/// The running program's path can't be read.
+pub(crate) fn program(name: &str) -> io::Result<PathBuf> {
+    let mut dir = std::env::current_exe()?;
+    dir.pop();
+    if dir.ends_with("deps") {
+        dir.pop();
+    }
+    Ok(dir.join(name))
+}
+
+/// Finds a loopback port that is free for TCP and for UDP.
+///
+/// # Errors
+///
+/// There is none.
+pub(crate) fn free_addr() -> io::Result<SocketAddr> {
+    for _ in 0..100 {
+        let addr = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        if UdpSocket::bind(addr).is_ok() {
+            return Ok(addr);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
+impl Process {
+    pub(crate) fn start(
+        name: &'static str,
+        host: &str,
+        data_centre: &str,
+        platform: &[String],
+    ) -> io::Result<Self> {
+        let (listen, link, ops) = (free_addr()?, free_addr()?, free_addr()?);
+        let mut command: Vec<String> = vec![
+            format!("--host={host}"),
+            format!("--data-centre={data_centre}"),
+            format!("--link={link}"),
+            format!("--ops={ops}"),
+        ];
+        if name != "cassia-control" {
+            command.push(format!("--listen={listen}"));
+        }
+        command.extend(platform.iter().cloned());
+        let child = spawn(name, &command)?;
+        Ok(Self { child, command, program: name, listen, link, ops })
+    }
+
+    /// Starts the same program again, with the same settings.
+    ///
+    /// # Errors
+    ///
+    /// It can't be started.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.kill();
+        self.child = spawn(self.program, &self.command)?;
+        Ok(())
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Freezes it: it keeps its connections and does nothing.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets it go on after a freeze.
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Asks it to stop.
+    pub fn ask_to_stop(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Waits until it has ended; none if it hasn't in time.
+    pub async fn ended(&mut self, within: Duration) -> Option<ExitStatus> {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        None
+    }
+
+    /// Tells the process's number.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Ok(id) = i32::try_from(self.child.id()) {
+            let _ = kill(Pid::from_raw(id), signal);
+        }
+    }
+}
+
+fn spawn(name: &str, arguments: &[String]) -> io::Result<Child> {
+    let logs = std::env::var_os("CASSIA_TRIAL_LOGS").is_some();
+    let stderr = if logs { Stdio::inherit() } else { Stdio::null() };
+    Command::new(program(name)?)
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(stderr)
+        .spawn()
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A frozen process can't be waited for unless it is killed, which
+        // SIGKILL does in any state.
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/trials/src/trial.rs
@@ -0,0 +1,268 @@
+//! One trial: the stand-ins, and the processes that were started.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::ensure;
+use cassia_contract::Contract;
+use cassia_platform::HttpPlatform;
+use cassia_platform::Log;
+use cassia_route::Listed;
+use cassia_route::TargetKind;
+use cassia_standin::EngineSpec;
+use cassia_standin::EngineStandin;
+use cassia_standin::ListStandin;
+use cassia_standin::LogStandin;
+use cassia_standin::ScorerStandin;
+use cassia_standin::ServiceStandin;
+use cassia_standin::WeightStandin;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::Caller;
+use crate::Process;
+
+const DATA_CENTRE: &str = "dc1";
+/// How long a trial waits for what must come about in the end. It is no bound
+/// on any promise: those are checked on their own.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// The platform's stand-ins, and what is needed to start processes.
+#[derive(Debug)]
+pub struct Trial {
+    /// The log.
+    pub log: LogStandin,
+    /// The list of targets.
+    pub list: ListStandin,
+    /// The weight store.
+    pub weights: WeightStandin,
+    /// The scorer.
+    pub scorer: ScorerStandin,
+    /// More flags for every process.
+    pub flags: Vec<String>,
+    seeds: Vec<SocketAddr>,
+}
+
+/// Asks again and again until the answer is yes; false if it never is.
+pub async fn eventually<F: Future<Output = bool>>(mut ask: impl FnMut() -> F) -> bool {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if ask().await {
+            return true;
+        }
+        if Instant::now() >= until {
+            return false;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+impl Trial {
+    /// Starts the platform's stand-ins, with two replicas of the list.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had.
+    pub async fn start() -> io::Result<Self> {
+        Ok(Self {
+            log: LogStandin::start().await?,
+            list: ListStandin::start(2).await?,
+            weights: WeightStandin::start(20).await?,
+            scorer: ScorerStandin::start().await?,
+            flags: vec!["--drain-lag-ms=200".to_owned()],
+            seeds: Vec::new(),
+        })
+    }
+
+    /// Describes an engine as the trials mostly want it.
+    #[must_use]
+    pub fn engine_spec(&self, model: &str) -> EngineSpec {
+        EngineSpec {
+            model: model.into(),
+            version: 1,
+            slots: 8,
+            token_us: 500,
+            swap_ms: 20,
+            checks_fence: true,
+            weights: Some(self.weights.addr()),
+        }
+    }
+
+    /// Starts an engine and lists it.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had.
+    pub async fn start_engine(&self, id: &str, spec: EngineSpec) -> io::Result<EngineStandin> {
+        let model = spec.model.clone();
+        let slots = u32::try_from(spec.slots).unwrap_or(u32::MAX);
+        let checks_fence = spec.checks_fence;
+        let engine = EngineStandin::start(spec).await?;
+        let what = TargetKind::Engine { model };
+        self.list.put(Listed { checks_fence, slots, ..listed(id, engine.addr(), what) });
+        Ok(engine)
+    }
+
+    /// Starts an instance of a plain service and lists it.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had.
+    pub async fn start_service(&self, id: &str, name: &str) -> io::Result<ServiceStandin> {
+        let service = ServiceStandin::start().await?;
+        let what = TargetKind::Service { name: name.into() };
+        self.list.put(listed(id, service.addr(), what));
+        Ok(service)
+    }
+
+    /// Starts an entry process and waits until it answers operators.
+    ///
+    /// # Errors
+    ///
+    /// It doesn't start.
+    pub async fn start_entry(&mut self, host: &str) -> anyhow::Result<Process> {
+        self.start_process("cassia-entry", host, DATA_CENTRE).await
+    }
+
+    /// Starts a rollout process and waits until it answers operators.
+    ///
+    /// # Errors
+    ///
+    /// It doesn't start.
+    pub async fn start_rollout(&mut self, host: &str) -> anyhow::Result<Process> {
+        self.start_process("cassia-rollout", host, DATA_CENTRE).await
+    }
+
+    /// Starts a control process and waits until it answers operators.
+    ///
+    /// # Errors
+    ///
+    /// It doesn't start.
+    pub async fn start_control(&mut self, host: &str) -> anyhow::Result<Process> {
+        self.start_process("cassia-control", host, DATA_CENTRE).await
+    }
+
+    /// Starts a process in a data centre.
+    ///
+    /// # Errors
+    ///
+    /// It doesn't start.
+    pub async fn start_process(
+        &mut self,
+        name: &'static str,
+        host: &str,
+        data_centre: &str,
+    ) -> anyhow::Result<Process> {
+        let process = Process::start(name, host, data_centre, &self.platform_flags())?;
+        self.seeds.push(process.link);
+        let ops = process.ops;
+        let up = eventually(|| async move { operator().get(ops, "/health").await.status == 200 });
+        ensure!(up.await, "{name} on {host} doesn't start");
+        Ok(process)
+    }
+
+    /// Waits until a process is ready for requests.
+    ///
+    /// # Errors
+    ///
+    /// It doesn't become ready.
+    pub async fn ready(&self, process: &Process) -> anyhow::Result<()> {
+        let ops = process.ops;
+        let ready = eventually(|| async move { operator().get(ops, "/ready").await.status == 200 });
+        ensure!(ready.await, "the process at {ops} doesn't become ready");
+        Ok(())
+    }
+
+    /// Waits until a process has this many open targets and live peers.
+    ///
+    /// # Errors
+    ///
+    /// It never has.
+    pub async fn sees(&self, process: &Process, targets: u64, peers: u64) -> anyhow::Result<()> {
+        let ops = process.ops;
+        let sees = eventually(|| async move {
+            let state = operator().get(ops, "/state").await.body;
+            state["targets"]["count"] == targets && state["peers"]["count"] == peers
+        });
+        ensure!(sees.await, "the process at {ops} doesn't see {targets} targets, {peers} peers");
+        Ok(())
+    }
+
+    /// Publishes a contract as the operators' program does, and gives its
+    /// record's offset.
+    ///
+    /// # Errors
+    ///
+    /// The log doesn't take it.
+    pub async fn publish(&self, contract: &Contract, amends: u64) -> anyhow::Result<u64> {
+        let log = HttpPlatform::default().log(self.log.addr());
+        let record = json!({
+            "record": "publish",
+            "publish_id": format!("{}-{amends}", contract.customer),
+            "customer": contract.customer,
+            "amends": amends,
+            "contract": contract,
+        });
+        Ok(log.append("config", record.to_string()).await?)
+    }
+
+    /// Waits until a process has a customer's revision in force.
+    ///
+    /// # Errors
+    ///
+    /// It never has.
+    pub async fn in_force(
+        &self,
+        process: &Process,
+        customer: &str,
+        revision: u64,
+    ) -> anyhow::Result<()> {
+        let ops = process.ops;
+        let in_force = eventually(|| async move {
+            revision_at(&operator().get(ops, "/state").await.body, customer) == Some(revision)
+        });
+        ensure!(in_force.await, "revision {revision} of {customer} is not in force at {ops}");
+        Ok(())
+    }
+
+    fn platform_flags(&self) -> Vec<String> {
+        let join = |addrs: Vec<SocketAddr>| {
+            addrs.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(",")
+        };
+        let mut flags = vec![
+            format!("--log={}", self.log.addr()),
+            format!("--list={}", join(self.list.addrs())),
+            format!("--weights={}", self.weights.addr()),
+            format!("--scorer={}", self.scorer.addr()),
+            format!("--seeds={}", join(self.seeds.clone())),
+        ];
+        flags.extend(self.flags.iter().cloned());
+        flags
+    }
+}
+
+/// Reads a customer's revision from a process's state.
+#[must_use]
+pub fn revision_at(state: &Value, customer: &str) -> Option<u64> {
+    let contracts = state["config"]["contracts"].as_array()?;
+    contracts.iter().find(|c| c["customer"] == customer)?["revision"].as_u64()
+}
+
+fn operator() -> Caller {
+    Caller::new("")
+}
+
+fn listed(id: &str, addr: SocketAddr, what: TargetKind) -> Listed {
+    Listed {
+        id: id.into(),
+        addr,
+        data_centre: DATA_CENTRE.into(),
+        what,
+        incarnation: 1,
+        leaving: false,
+        slots: 8,
+        checks_fence: true,
+    }
+}
