Count revisions from 1

Cause: found by the race table: the first record of the stream has offset 0, so its revision was 0, which operators write for 'none in force'. A second operator's first publish was then taken for an amendment of it.

Ruled out: starting streams at 1, which the log service decides, not we.

Change: a revision is one more than its record's offset.

--- a/crates/fold/src/state.rs
+++ b/crates/fold/src/state.rs
@@ -36,7 +36,7 @@
 /// What is in force for one customer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct InForce {
-    /// The offset of the record that put it in force.
+    /// One more than the offset of the record that put it in force.
     pub revision: Revision,
     /// The contract; none after a withdrawal.
     pub contract: Option<Arc<Contract>>,
@@ -144,15 +144,17 @@
             contract: None,
             accepted: VecDeque::new(),
         });
-        entry.revision = offset;
+        // Counted from 1, since an operator writes 0 for "none in force".
+        let revision = offset + 1;
+        entry.revision = revision;
         entry.contract.clone_from(&publish.contract);
         entry
             .accepted
-            .push_back(Accepted { publish_id: publish.publish_id.clone(), revision: offset });
+            .push_back(Accepted { publish_id: publish.publish_id.clone(), revision });
         if entry.accepted.len() > KEPT_PUBLISH_IDS {
             entry.accepted.pop_front();
         }
-        Applied::InForce { revision: offset }
+        Applied::InForce { revision }
     }
 
     fn refuse(&self, publish: &Publish) -> Option<Refusal> {
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -30,7 +30,7 @@
 pub type SampleId = SmolStr;
 /// A position in a stream of the log, counted in records.
 pub type Offset = u64;
-/// The offset of the record that put a contract in force.
+/// Which change of a contract: one more than its record's offset.
 pub type Revision = u64;
 /// A weight version of one model; a later version is a larger number.
 pub type Version = u64;
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -191,7 +191,7 @@
     }
 
     /// Publishes a contract as the operators' program does, and gives its
-    /// record's offset.
+    /// revision if it is accepted.
     ///
     /// # Errors
     ///
@@ -205,7 +205,7 @@
             "amends": amends,
             "contract": contract,
         });
-        Ok(log.append("config", record.to_string()).await?)
+        Ok(log.append("config", record.to_string()).await? + 1)
     }
 
     /// Waits until a process has a customer's revision in force.
