--- a/crates/ctl/src/contracts.rs
+++ b/crates/ctl/src/contracts.rs
@@ -200,6 +200,7 @@
         Refusal::BeatenBy { revision } => {
             format!("revision {revision} is in force, and not the one that was to be amended")
         }
+        Refusal::Before => "the same change was refused before".to_owned(),
         Refusal::Faulty { faults } => format!("the contract is faulty: {faults}"),
         Refusal::SharesExceed { percent } => {
             format!("the customers' shares would come to {percent}%")
--- a/crates/fold/src/state.rs
+++ b/crates/fold/src/state.rs
@@ -20,6 +20,8 @@
 
 /// How many accepted publish ids are kept a customer, to answer retries.
 const KEPT_PUBLISH_IDS: usize = 8;
+/// How many refused publish ids are kept in all.
+const KEPT_REFUSED_IDS: usize = 64;
 /// The sum of all customers' shares, in percent.
 const WHOLE_PERCENT: u32 = 100;
 
@@ -31,6 +33,9 @@
 pub struct Fold {
     next: Offset,
     customers: BTreeMap<CustomerId, InForce>,
+    /// The last refused publish ids, oldest first: an operator that was told
+    /// of a refusal must not find the change in force later.
+    refused: VecDeque<SmolStr>,
 }
 
 /// What is in force for one customer.
@@ -77,6 +82,8 @@
         /// The revision that was in force instead.
         revision: Revision,
     },
+    /// The same publish was refused before.
+    Before,
     /// The contract fails its checks.
     Faulty {
         /// The faults, in one line.
@@ -137,6 +144,10 @@
             return Applied::Repeated { revision };
         }
         if let Some(refusal) = self.refuse(publish) {
+            self.refused.push_back(publish.publish_id.clone());
+            if self.refused.len() > KEPT_REFUSED_IDS {
+                self.refused.pop_front();
+            }
             return Applied::Refused(refusal);
         }
         let entry = self.customers.entry(publish.customer.clone()).or_insert(InForce {
@@ -158,6 +169,9 @@
     }
 
     fn refuse(&self, publish: &Publish) -> Option<Refusal> {
+        if self.refused.contains(&publish.publish_id) {
+            return Some(Refusal::Before);
+        }
         let revision = self.customers.get(&publish.customer).map_or(0, |f| f.revision);
         if publish.amends != revision {
             return Some(Refusal::BeatenBy { revision });
--- a/crates/fold/tests/races.rs
+++ b/crates/fold/tests/races.rs
@@ -112,6 +112,20 @@
     }
 }
 
+#[test]
+fn a_publish_that_was_refused_stays_refused_when_its_first_record_arrives_late() {
+    let (_, applied) = fold(&[
+        publish("a", "x", 0, 60),
+        publish("b", "y", 0, 60),
+        publish("c", "x", 1, 10),
+        // The operator was told that b is refused; this is b's first append,
+        // which was held up on its way.
+        publish("b", "y", 0, 60),
+    ]);
+    assert_eq!(applied[1], Applied::Refused(Refusal::SharesExceed { percent: 120 }));
+    assert_eq!(applied[3], Applied::Refused(Refusal::Before));
+}
+
 #[test]
 fn a_faulty_contract_is_refused_by_the_fold_as_by_the_operators_program() {
     let (fold, applied) = fold(&[publish("a", "x", 0, 0)]);
