--- a/crates/once/src/ticket.rs
+++ b/crates/once/src/ticket.rs
@@ -91,6 +91,8 @@
 }
 
 fn mac(hex: &str) -> Result<[u8; MAC_BYTES], NotATicket> {
+    // The library's own parser would take a sign as well.
+    let digits = hex.len() == MAC_BYTES * 2 && hex.bytes().all(|b| b.is_ascii_hexdigit());
     let all = u128::from_str_radix(hex, 16).map_err(|_| NotATicket)?;
-    if hex.len() == MAC_BYTES * 2 { Ok(all.to_be_bytes()) } else { Err(NotATicket) }
+    if digits { Ok(all.to_be_bytes()) } else { Err(NotATicket) }
 }
--- a/crates/sample/src/cursor.rs
+++ b/crates/sample/src/cursor.rs
@@ -10,8 +10,6 @@
 /// It is all that any process needs to go on from there.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Cursor {
-    /// Drawn when the trainer begins from nothing.
-    pub run: u64,
     /// How many lots the trainer has taken.
     pub lots: u64,
     /// The first prompt that the trainer has no samples of.
@@ -22,9 +20,9 @@
 
 impl fmt::Display for Cursor {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { run, lots, next_prompt, last_lot } = self;
+        let Self { lots, next_prompt, last_lot } = self;
         let sum = self.sum();
-        write!(f, "{FORM}-{run:x}-{lots:x}-{next_prompt:x}-{last_lot:x}-{sum:x}")
+        write!(f, "{FORM}-{lots:x}-{next_prompt:x}-{last_lot:x}-{sum:x}")
     }
 }
 
@@ -45,7 +43,7 @@
             u64::from_str_radix(part, 16).map_err(|_| BadCursor)
         };
         let cursor =
-            Self { run: number()?, lots: number()?, next_prompt: number()?, last_lot: number()? };
+            Self { lots: number()?, next_prompt: number()?, last_lot: number()? };
         if number()? == cursor.sum() { Ok(cursor) } else { Err(BadCursor) }
     }
 }
@@ -54,8 +52,8 @@
     /// A check against cut or mixed-up texts, not against forgery: a trainer
     /// that forges its own cursor harms only itself.
     fn sum(&self) -> u64 {
-        let Self { run, lots, next_prompt, last_lot } = *self;
-        [run, lots, next_prompt, last_lot].into_iter().fold(0xcbf2_9ce4_8422_2325, |acc: u64, n| {
+        let Self { lots, next_prompt, last_lot } = *self;
+        [lots, next_prompt, last_lot].into_iter().fold(0xcbf2_9ce4_8422_2325, |acc: u64, n| {
             (acc ^ n).wrapping_mul(0x0100_0000_01b3).rotate_left(29)
         })
     }
--- a/crates/sample/src/keeper.rs
+++ b/crates/sample/src/keeper.rs
@@ -117,11 +117,19 @@
     cursor: Cursor,
     version: Version,
     prompts: BTreeMap<u64, SmolStr>,
-    groups: BTreeMap<u64, Vec<Slot>>,
+    groups: BTreeMap<u64, Group>,
     handed: Option<Handed>,
     counts: Counts,
 }
 
+/// The samples of one prompt.
+#[derive(Debug, Default)]
+struct Group {
+    /// The prompt that they were started for.
+    text: SmolStr,
+    slots: Vec<Slot>,
+}
+
 #[derive(Debug)]
 enum Slot {
     Running(SampleId),
@@ -132,6 +140,8 @@
 #[derive(Debug)]
 struct Handed {
     from: Cursor,
+    /// The prompts that it was generated for.
+    texts: Vec<SmolStr>,
     lot: Lot,
 }
 
@@ -174,14 +184,14 @@
     /// Counts the finished samples that wait for their lot.
     #[must_use]
     pub fn done_samples(&self) -> u64 {
-        let done = self.groups.values().flatten().filter(|s| matches!(s, Slot::Done(_)));
-        done.count() as u64
+        self.groups.values().map(Group::done).sum()
     }
 
     /// Counts the samples on their way.
     #[must_use]
     pub fn running_samples(&self) -> usize {
-        self.groups.values().flatten().filter(|s| matches!(s, Slot::Running(_))).count()
+        let slots = self.groups.values().flat_map(|group| &group.slots);
+        slots.filter(|s| matches!(s, Slot::Running(_))).count()
     }
 
     /// Answers a trainer's pull.
@@ -212,7 +222,9 @@
         let window = self.spec.groups * (1 + self.lots_ahead());
         let open: Vec<_> = self.prompts.range(from..).take(window).collect();
         for (&prompt, text) in open {
-            let slots = self.groups.entry(prompt).or_default();
+            let group = self.groups.entry(prompt).or_default();
+            group.text.clone_from(text);
+            let slots = &mut group.slots;
             while slots.len() < self.spec.group_size && starts.len() < room {
                 let id = format_smolstr!("{:x}-{:x}-{:x}", self.boot, self.number, self.next_id);
                 self.next_id += 1;
@@ -225,8 +237,8 @@
 
     /// Takes a finished sample in.
     pub fn finished(&mut self, sample: Sample) {
-        let slots = self.groups.get_mut(&sample.prompt);
-        let slot = slots.and_then(|slots| slots.iter_mut().find(|s| s.runs(&sample.id)));
+        let group = self.groups.get_mut(&sample.prompt);
+        let slot = group.and_then(|group| group.slots.iter_mut().find(|s| s.runs(&sample.id)));
         match slot {
             Some(slot) => *slot = Slot::Done(sample),
             None => self.counts.unexpected += 1,
@@ -236,7 +248,7 @@
     /// Takes in that a sample came to nothing; its place is free again.
     pub fn failed(&mut self, prompt: u64, id: &str) {
         match self.groups.get_mut(&prompt) {
-            Some(slots) => slots.retain(|slot| !slot.runs(id)),
+            Some(group) => group.slots.retain(|slot| !slot.runs(id)),
             None => self.counts.unexpected += 1,
         }
     }
@@ -244,7 +256,7 @@
     /// Says whether a running sample is still wanted.
     #[must_use]
     pub fn wants(&self, prompt: u64, id: &str) -> bool {
-        self.groups.get(&prompt).is_some_and(|slots| slots.iter().any(|s| s.runs(id)))
+        self.groups.get(&prompt).is_some_and(|group| group.slots.iter().any(|s| s.runs(id)))
     }
 
     /// How many lots past the next one are generated ahead.
@@ -260,22 +272,27 @@
 
     /// Takes the trainer's place and version over from its pull.
     fn adopt(&mut self, pull: &Pull) {
-        let same_run = pull.cursor.run == self.cursor.run;
-        if !same_run {
-            self.counts.wasted += self.done_samples();
-            self.groups.clear();
-            self.handed = None;
-        }
-        if self.handed.as_ref().is_some_and(|handed| handed.from != pull.cursor) {
+        let same_lot = |handed: &Handed| {
+            handed.from == pull.cursor && pull.prompts.starts_with(&handed.texts)
+        };
+        if self.handed.as_ref().is_some_and(|handed| !same_lot(handed)) {
             self.settle_handed(&pull.cursor);
         }
         self.cursor = pull.cursor;
         self.version = pull.version;
         let first = pull.cursor.next_prompt;
         self.prompts = (first..).zip(pull.prompts.iter().cloned()).collect();
-        let past = self.groups.range(..first).flat_map(|(_, slots)| slots);
-        self.counts.wasted += past.filter(|s| matches!(s, Slot::Done(_))).count() as u64;
-        self.groups = self.groups.split_off(&first);
+        // A trainer that begins anew, or goes back and shuffles its data, may
+        // show other prompts under the same numbers.
+        let prompts = &self.prompts;
+        let mut wasted = 0;
+        self.groups.retain(|prompt, group| {
+            let same = prompts.get(prompt).is_none_or(|text| *text == group.text);
+            let kept = *prompt >= first && same;
+            wasted += if kept { 0 } else { group.done() };
+            kept
+        });
+        self.counts.wasted += wasted;
     }
 
     /// The trainer moved off the place that the lot was handed out for. Its
@@ -305,8 +322,8 @@
         }
         let (version, bound) = (self.version, self.spec.staleness_bound);
         let mut dropped = 0;
-        for slots in self.groups.values_mut() {
-            slots.retain(|slot| {
+        for group in self.groups.values_mut() {
+            group.slots.retain(|slot| {
                 let stale = matches!(slot, Slot::Done(s) if s.label.staleness(version) > bound);
                 dropped += u64::from(stale);
                 !stale
@@ -324,8 +341,8 @@
     fn missing(&self) -> usize {
         let first = self.cursor.next_prompt;
         let done = |prompt| {
-            let slots = self.groups.get(&prompt).map_or(&[][..], Vec::as_slice);
-            slots.iter().filter(|s| matches!(s, Slot::Done(_))).count()
+            let done = self.groups.get(&prompt).map_or(0, Group::done);
+            usize::try_from(done).unwrap_or(usize::MAX)
         };
         (first..).take(self.spec.groups).map(|p| self.spec.group_size - done(p)).sum()
     }
@@ -335,23 +352,30 @@
         let end = first + self.spec.groups as u64;
         let rest = self.groups.split_off(&end);
         let whole = std::mem::replace(&mut self.groups, rest);
-        let samples: Vec<_> = whole.into_values().flatten().filter_map(Slot::done).collect();
+        let texts = whole.values().map(|group| group.text.clone()).collect();
+        let slots = whole.into_values().flat_map(|group| group.slots);
+        let samples: Vec<_> = slots.filter_map(Slot::done).collect();
         self.counts.handed += samples.len() as u64;
         let mixed = self.boot.wrapping_add(self.number.rotate_left(40));
         let number = mixed.wrapping_add(self.next_id).max(1);
         self.next_id += 1;
         let cursor = Cursor {
-            run: self.cursor.run,
             lots: self.cursor.lots + 1,
             next_prompt: end,
             last_lot: number,
         };
         let lot = Lot { samples, cursor };
-        self.handed = Some(Handed { from: self.cursor, lot: lot.clone() });
+        self.handed = Some(Handed { from: self.cursor, texts, lot: lot.clone() });
         lot
     }
 }
 
+impl Group {
+    fn done(&self) -> u64 {
+        self.slots.iter().filter(|s| matches!(s, Slot::Done(_))).count() as u64
+    }
+}
+
 impl Slot {
     fn runs(&self, id: &str) -> bool {
         matches!(self, Self::Running(running) if running == id)
