--- a/crates/fold/src/state.rs
+++ b/crates/fold/src/state.rs
@@ -159,9 +159,7 @@
         let revision = offset + 1;
         entry.revision = revision;
         entry.contract.clone_from(&publish.contract);
-        entry
-            .accepted
-            .push_back(Accepted { publish_id: publish.publish_id.clone(), revision });
+        entry.accepted.push_back(Accepted { publish_id: publish.publish_id.clone(), revision });
         if entry.accepted.len() > KEPT_PUBLISH_IDS {
             entry.accepted.pop_front();
         }
--- a/crates/fold/tests/retention.rs
+++ b/crates/fold/tests/retention.rs
@@ -114,9 +114,10 @@
         // Whether it had to be stranded: nothing in the log bridges the gap.
         NextRead::Stranded(_) => {
             assert!(had.next() < first);
-            let bridges = records.iter().skip(usize::try_from(first).unwrap_or(0)).any(
-                |r| matches!(r, Record::Snapshot(s) if s.fold.next() >= first),
-            );
+            let bridges = records
+                .iter()
+                .skip(usize::try_from(first).unwrap_or(0))
+                .any(|r| matches!(r, Record::Snapshot(s) if s.fold.next() >= first));
             assert!(!bridges, "stranded before a snapshot that bridges");
         }
     }
@@ -162,8 +163,7 @@
 fn a_snapshot_that_is_always_taken_over_would_undo_a_change() {
     // The naive way on a snapshot that a slow process wrote: the change
     // between reverts. The chosen way keeps it.
-    let (records, states) =
-        write(&[Step::Publish(1), Step::Publish(2), Step::Snapshot { lag: 1 }]);
+    let (records, states) = write(&[Step::Publish(1), Step::Publish(2), Step::Snapshot { lag: 1 }]);
     let Record::Snapshot(snapshot) = &records[2] else { panic!("a snapshot was written") };
     assert_ne!(snapshot.fold.in_force("x"), states[2].in_force("x"));
     let mut reader = Follow::default();
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -38,6 +38,8 @@
     Ack = 1,
     /// Probe that one for me.
     ProbeFor = 2,
+    /// Are you there, and whom do you know?
+    ProbeWhole = 3,
 }
 
 /// How a process stands.
--- a/crates/member/src/state.rs
+++ b/crates/member/src/state.rs
@@ -30,6 +30,9 @@
 const ANNOUNCE_TO: usize = 4;
 /// Rumours on one datagram.
 const RUMOURS_PER_DATAGRAM: usize = 6;
+/// Rumours on a datagram that tells a newcomer of everyone, which must fit
+/// into one packet.
+const RUMOURS_PER_PAGE: usize = 20;
 /// Closed targets on one datagram.
 const CLOSED_PER_DATAGRAM: usize = 4;
 /// Closed targets that are still passed on.
@@ -37,6 +40,8 @@
 /// One probe in this many goes to a process taken for dead, so that two sides
 /// of a cut find each other again.
 const PROBE_DEAD_EVERY: u64 = 5;
+/// One probe in this many asks for the whole view, for what rumours missed.
+const WHOLE_VIEW_EVERY: u64 = 20;
 /// A dead process is forgotten after this long: more than an hour's cut.
 const FORGET_DEAD: Duration = Duration::from_hours(2);
 
@@ -203,6 +208,7 @@
 
     /// Takes a datagram in and gives the ones to send.
     pub fn receive(&mut self, from: SocketAddr, gossip: &Gossip, now: Instant) -> Vec<Datagram> {
+        let newcomer = gossip.from.as_ref().is_some_and(|sender| self.is_news(&sender.id));
         for rumour in gossip.from.iter().chain(&gossip.rumours) {
             self.hear(rumour, now);
         }
@@ -212,7 +218,12 @@
             }
         }
         match gossip.kind() {
-            Kind::Probe => vec![self.datagram(from, Kind::Ack, gossip.seq)],
+            Kind::Probe if !newcomer => vec![self.datagram(from, Kind::Ack, gossip.seq)],
+            Kind::Probe | Kind::ProbeWhole => {
+                let mut out = vec![self.datagram(from, Kind::Ack, gossip.seq)];
+                out.extend(self.whole_view(from));
+                out
+            }
             Kind::ProbeFor => self.probe_for(from, gossip, now),
             Kind::Ack => self.acked(gossip.seq),
         }
@@ -268,6 +279,27 @@
         Datagram { to, gossip }
     }
 
+    /// Whether a process was unknown or taken for gone until now.
+    fn is_news(&self, id: &str) -> bool {
+        self.peers.get(id).is_none_or(|p| p.standing >= Standing::Dead)
+    }
+
+    /// Tells a newcomer of everyone at once. By the rumours that ride on
+    /// probes alone it would take minutes to hear of hundreds.
+    fn whole_view(&self, to: SocketAddr) -> Vec<Datagram> {
+        let rumours: Vec<_> = self.live().filter(|p| p.addr != to).map(Peer::rumour).collect();
+        let page = |rumours: &[Rumour]| Gossip {
+            kind: Kind::Ack.into(),
+            seq: 0,
+            from: Some(self.self_rumour()),
+            about: String::new(),
+            rumours: rumours.to_vec(),
+            closed: Vec::new(),
+        };
+        let pages = rumours.chunks(RUMOURS_PER_PAGE);
+        pages.map(|rumours| Datagram { to, gossip: page(rumours) }).collect()
+    }
+
     /// News is passed on a few times the logarithm of the number of peers:
     /// enough for all to hear it, and no more.
     fn most_told(&self) -> u32 {
@@ -353,7 +385,11 @@
             let probe = Probe { seq, direct_until: now + DIRECT_TIMEOUT, asked_others: false };
             self.probing = Some((id, probe));
         }
-        out.push(self.datagram(addr, Kind::Probe, seq));
+        // More often at first: where all start at once, the seeds know nobody.
+        let starting = seq < WHOLE_VIEW_EVERY && seq.is_power_of_two();
+        let whole = starting || seq % WHOLE_VIEW_EVERY == 1;
+        let kind = if whole { Kind::ProbeWhole } else { Kind::Probe };
+        out.push(self.datagram(addr, kind, seq));
     }
 
     fn unknown_seed(&mut self) -> Option<SocketAddr> {
--- a/crates/once/tests/at_most_once.rs
+++ b/crates/once/tests/at_most_once.rs
@@ -32,13 +32,24 @@
 /// What happens next, in a world of two hosts.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    Mint { host: usize },
+    Mint {
+        host: usize,
+    },
     /// Some ticket is shown at some host, which forwards it if it must.
-    Show { ticket: usize, host: usize },
+    Show {
+        ticket: usize,
+        host: usize,
+    },
     /// The oldest request that runs ends like this.
-    End { how: u8 },
-    Restart { host: usize },
-    Wait { seconds: u64 },
+    End {
+        how: u8,
+    },
+    Restart {
+        host: usize,
+    },
+    Wait {
+        seconds: u64,
+    },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -169,7 +180,9 @@
         steps in proptest::collection::vec(step(), 1..60),
     ) {
         let mut world = World::new();
-        steps.into_iter().for_each(|step| world.step(step));
+        for step in steps {
+            world.step(step);
+        }
     }
 }
 
@@ -213,10 +226,7 @@
     let (mut here, mut there) = (desk(0, 0, now), desk(1, 1, now));
     let ticket = here.mint("savanna", "status", now);
     assert!(matches!(here.redeem(&ticket, "savanna", "status", now), Redeemed::Run(_)));
-    assert_eq!(
-        there.redeem(&ticket, "savanna", "status", now),
-        Redeemed::Elsewhere(addr(0))
-    );
+    assert_eq!(there.redeem(&ticket, "savanna", "status", now), Redeemed::Elsewhere(addr(0)));
 }
 
 #[rstest]
--- /dev/null
+++ b/crates/route/tests/view.rs
@@ -0,0 +1,256 @@
+//! A target that is leaving stays closed, whatever the lagging copies show.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_route::Choice;
+use cassia_route::ListCopy;
+use cassia_route::Listed;
+use cassia_route::Policy;
+use cassia_route::Target;
+use cassia_route::TargetKind;
+use cassia_route::TargetSet;
+use cassia_route::TargetView;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+fn kind() -> TargetKind {
+    TargetKind::Engine { model: "m".into() }
+}
+
+fn listed(id: &str, incarnation: u64, leaving: bool) -> Listed {
+    Listed {
+        id: id.into(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: "dc1".into(),
+        what: kind(),
+        incarnation,
+        leaving,
+        slots: 8,
+        checks_fence: true,
+    }
+}
+
+fn copy(seq: u64, targets: &[Listed]) -> ListCopy {
+    ListCopy { seq, targets: targets.to_vec() }
+}
+
+fn is_open(view: &TargetView, id: &str) -> bool {
+    view.open().any(|l| l.id == id)
+}
+
+#[rstest]
+#[case::older_copy_shows_it_live(copy(1, &[listed("e", 1, false)]), false)]
+#[case::same_copy_from_another_replica(copy(2, &[listed("e", 1, false)]), false)]
+#[case::newer_copy_of_a_replica_that_missed_it(copy(3, &[listed("e", 1, false)]), false)]
+#[case::it_came_back_as_a_new_incarnation(copy(3, &[listed("e", 2, false)]), true)]
+fn a_leaving_target_comes_back_only_as_a_new_incarnation(
+    #[case] next: ListCopy,
+    #[case] open: bool,
+) {
+    let mut view = TargetView::default();
+    view.merge(copy(1, &[listed("e", 1, false)]));
+    assert!(is_open(&view, "e"));
+    view.merge(copy(2, &[listed("e", 1, true)]));
+    assert!(!is_open(&view, "e"));
+    view.merge(next);
+    assert_eq!(is_open(&view, "e"), open);
+}
+
+#[test]
+fn the_newest_copy_alone_would_bring_a_leaving_target_back() {
+    // The naive way takes each copy that it gets for the truth.
+    let copies = [copy(2, &[listed("e", 1, true)]), copy(1, &[listed("e", 1, false)])];
+    let naive = copies.last().expect("a copy");
+    assert!(!naive.targets[0].leaving);
+    let mut view = TargetView::default();
+    view.merge(copy(1, &[listed("e", 1, false)]));
+    for c in copies {
+        view.merge(c);
+    }
+    assert!(!is_open(&view, "e"));
+}
+
+#[rstest]
+#[case::removed(copy(5, &[]))]
+#[case::old_copy_after_removal(copy(3, &[listed("e", 1, false)]))]
+fn a_removed_target_is_closed(#[case] next: ListCopy) {
+    let mut view = TargetView::default();
+    view.merge(copy(1, &[listed("e", 1, false)]));
+    view.merge(copy(4, &[]));
+    view.merge(next);
+    assert!(!is_open(&view, "e"));
+}
+
+#[test]
+fn an_unknown_target_of_an_old_copy_is_not_opened() {
+    let mut view = TargetView::default();
+    view.merge(copy(4, &[]));
+    view.merge(copy(3, &[listed("e", 1, false)]));
+    assert!(!is_open(&view, "e"));
+}
+
+#[test]
+fn a_peers_word_closes_just_the_incarnation_it_names() {
+    let mut view = TargetView::default();
+    view.merge(copy(1, &[listed("e", 2, false)]));
+    assert!(!view.close("e", 1));
+    assert!(is_open(&view, "e"));
+    assert!(view.close("e", 2));
+    assert!(!is_open(&view, "e"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(19),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_order_of_copies_reopens_a_closed_incarnation(
+        copies in proptest::collection::vec(
+            (0..6_u64, proptest::option::of((1..4_u64, any::<bool>()))), 1..20,
+        ),
+    ) {
+        let mut view = TargetView::default();
+        let mut closed = 0;
+        for (seq, target) in copies {
+            let targets: Vec<_> =
+                target.iter().map(|&(inc, leaving)| listed("e", inc, leaving)).collect();
+            view.merge(copy(seq, &targets));
+            if let Some(l) = view.all().find(|l| l.leaving) {
+                closed = closed.max(l.incarnation);
+            }
+            prop_assert!(view.open().all(|l| l.incarnation > closed));
+        }
+    }
+}
+
+fn set(view: &TargetView, old: &TargetSet) -> TargetSet {
+    old.updated(view.open())
+}
+
+#[test]
+fn a_choice_made_before_the_closing_is_not_carried_out_after_it() {
+    let now = Instant::now();
+    let mut view = TargetView::default();
+    view.merge(copy(1, &[listed("e", 1, false)]));
+    let old = set(&view, &TargetSet::empty(now));
+    let Choice::Target(chosen) = old.choose(&kind(), Policy::TwoChoices, None, None, now) else {
+        panic!("there is a target");
+    };
+    view.merge(copy(2, &[listed("e", 1, true)]));
+    let new = set(&view, &old);
+    assert!(chosen.begin().is_none(), "work began at a target that is leaving");
+    assert_eq!(chosen.in_flight(), 0);
+    assert!(matches!(new.choose(&kind(), Policy::TwoChoices, None, None, now), Choice::NoneOpen));
+}
+
+#[test]
+fn what_runs_at_a_target_is_still_counted_after_the_list_changed() {
+    let now = Instant::now();
+    let mut view = TargetView::default();
+    view.merge(copy(1, &[listed("e", 1, false)]));
+    let old = set(&view, &TargetSet::empty(now));
+    let target = Arc::clone(&old.of_kind(&kind())[0]);
+    let used = target.begin().expect("it is open");
+    view.merge(copy(2, &[listed("e", 1, false), listed("f", 1, false)]));
+    let new = set(&view, &old);
+    assert_eq!(new.of_kind(&kind())[0].in_flight(), 1);
+    drop(used);
+    assert_eq!(new.of_kind(&kind())[0].in_flight(), 0);
+}
+
+fn many(count: usize) -> TargetSet {
+    let targets: Vec<_> = (0..count).map(|i| listed(&format!("e{i}"), 1, false)).collect();
+    let mut view = TargetView::default();
+    view.merge(copy(1, &targets));
+    set(&view, &TargetSet::empty(Instant::now()))
+}
+
+fn chosen(set: &TargetSet, policy: Policy, not: Option<&str>, now: Instant) -> Arc<Target> {
+    match set.choose(&kind(), policy, None, not, now) {
+        Choice::Target(target) => target,
+        Choice::NoneOpen => panic!("there is a target"),
+    }
+}
+
+#[test]
+fn a_stale_report_makes_a_herd_of_the_least_reported_and_not_of_two_choices() {
+    // Forty processes have the same reports: one engine is empty, the others
+    // have half their slots in use. Each sends four requests.
+    let share_of_first = |policy| {
+        let mut first = 0;
+        for _ in 0..40 {
+            let set = many(10);
+            let now = Instant::now();
+            for (i, target) in set.of_kind(&kind()).iter().enumerate() {
+                let load = if i == 0 { 0 } else { 4 };
+                set.reported(target, load, 0, Duration::ZERO, now);
+            }
+            for _ in 0..4 {
+                let target = chosen(&set, policy, None, now);
+                first += u32::from(target.listed.id == "e0");
+                std::mem::forget(target.begin());
+            }
+        }
+        first
+    };
+    // 160 requests: the naive way sends all of them to 8 slots.
+    assert_eq!(share_of_first(Policy::LeastReported), 160);
+    assert!(share_of_first(Policy::TwoChoices) < 80);
+}
+
+#[test]
+fn an_engine_that_failed_is_avoided_unless_it_is_the_only_one() {
+    let now = Instant::now();
+    let set = many(2);
+    let bad = Arc::clone(&set.of_kind(&kind())[0]);
+    set.avoid(&bad, now + Duration::from_secs(1));
+    for _ in 0..100 {
+        assert_eq!(chosen(&set, Policy::TwoChoices, None, now).listed.id, "e1");
+    }
+    let alone = many(1);
+    alone.avoid(&alone.of_kind(&kind())[0], now + Duration::from_secs(1));
+    assert_eq!(chosen(&alone, Policy::TwoChoices, Some("e0"), now).listed.id, "e0");
+}
+
+#[test]
+fn a_prefix_goes_to_its_engine_until_that_one_is_much_busier() {
+    let now = Instant::now();
+    let set = many(10);
+    let home = |set: &TargetSet| match set.choose(&kind(), Policy::TwoChoices, Some(5), None, now) {
+        Choice::Target(target) => target,
+        Choice::NoneOpen => panic!("there is a target"),
+    };
+    let first = home(&set);
+    for _ in 0..20 {
+        assert_eq!(home(&set).listed.id, first.listed.id);
+    }
+    let used: Vec<_> = (0..8).map(|_| first.begin()).collect();
+    assert_ne!(home(&set).listed.id, first.listed.id);
+    drop(used);
+    assert_eq!(home(&set).listed.id, first.listed.id);
+}
+
+#[rstest]
+#[case(360, 600)]
+fn subsets_are_even_and_bounded(#[case] hosts: usize, #[case] engines: usize) {
+    let names: Vec<String> = (0..engines).map(|i| format!("e{i}")).collect();
+    let mut users = vec![0_u32; engines];
+    for host in 0..hosts {
+        let items: Vec<(usize, &String)> = names.iter().enumerate().collect();
+        let picked = cassia_route::subset(&format!("h{host}/entry"), items, 64, |item| item.1);
+        assert_eq!(picked.len(), 64);
+        for (i, _) in picked {
+            users[i] += 1;
+        }
+    }
+    // 360 x 64 / 600 = 38.4 users an engine; none is left out or overrun.
+    let (least, most) = (users.iter().min(), users.iter().max());
+    assert!(least > Some(&15) && most < Some(&70), "{least:?} {most:?}");
+}
--- a/crates/sample/src/cursor.rs
+++ b/crates/sample/src/cursor.rs
@@ -42,8 +42,7 @@
             let part = parts.next().ok_or(BadCursor)?;
             u64::from_str_radix(part, 16).map_err(|_| BadCursor)
         };
-        let cursor =
-            Self { lots: number()?, next_prompt: number()?, last_lot: number()? };
+        let cursor = Self { lots: number()?, next_prompt: number()?, last_lot: number()? };
         if number()? == cursor.sum() { Ok(cursor) } else { Err(BadCursor) }
     }
 }
--- a/crates/sample/src/keeper.rs
+++ b/crates/sample/src/keeper.rs
@@ -272,9 +272,8 @@
 
     /// Takes the trainer's place and version over from its pull.
     fn adopt(&mut self, pull: &Pull) {
-        let same_lot = |handed: &Handed| {
-            handed.from == pull.cursor && pull.prompts.starts_with(&handed.texts)
-        };
+        let same_lot =
+            |handed: &Handed| handed.from == pull.cursor && pull.prompts.starts_with(&handed.texts);
         if self.handed.as_ref().is_some_and(|handed| !same_lot(handed)) {
             self.settle_handed(&pull.cursor);
         }
@@ -359,11 +358,7 @@
         let mixed = self.boot.wrapping_add(self.number.rotate_left(40));
         let number = mixed.wrapping_add(self.next_id).max(1);
         self.next_id += 1;
-        let cursor = Cursor {
-            lots: self.cursor.lots + 1,
-            next_prompt: end,
-            last_lot: number,
-        };
+        let cursor = Cursor { lots: self.cursor.lots + 1, next_prompt: end, last_lot: number };
         let lot = Lot { samples, cursor };
         self.handed = Some(Handed { from: self.cursor, texts, lot: lot.clone() });
         lot
--- a/crates/sample/tests/lots.rs
+++ b/crates/sample/tests/lots.rs
@@ -140,14 +140,14 @@
     }
 
     fn generate(&mut self, keeper: usize, fail_every: usize) {
-        for (i, (start, version)) in std::mem::take(&mut self.running[keeper]).into_iter().enumerate()
+        for (i, (start, version)) in
+            std::mem::take(&mut self.running[keeper]).into_iter().enumerate()
         {
             if fail_every > 0 && i % fail_every == fail_every - 1 {
                 self.keepers[keeper].failed(start.prompt, &start.id);
                 continue;
             }
-            let label =
-                Label { spans: vec![Span { tokens: 1, version }], cached: Vec::new() };
+            let label = Label { spans: vec![Span { tokens: 1, version }], cached: Vec::new() };
             self.keepers[keeper].finished(Sample {
                 id: start.id,
                 prompt: start.prompt,
@@ -200,7 +200,9 @@
         steps in proptest::collection::vec(step(), 1..120),
     ) {
         let mut world = World::new();
-        steps.into_iter().for_each(|step| world.step(step));
+        for step in steps {
+            world.step(step);
+        }
     }
 }
 
@@ -223,7 +225,9 @@
     ];
     for code in 0..kinds.len().pow(6) {
         let mut world = World::new();
-        first.into_iter().for_each(|step| world.step(step));
+        for step in first {
+            world.step(step);
+        }
         for i in 0..6 {
             world.step(kinds[code / kinds.len().pow(i) % kinds.len()]);
         }
