Prove the promises on real processes; take peers from the platform's list

Cause: the decisions were proved as state machines only, and processes knew their peers from settings, which go stale as hosts are replaced.

The list also names peers.

Ruled out: ports from the system for started processes. One in some thirty starts failed since another socket got the port first; they now come from below the system's own range.

--- a/crates/control/src/flags.rs
+++ b/crates/control/src/flags.rs
@@ -9,6 +9,7 @@
 
 /// Gives engines their orders: which weights to stage and to serve.
 ///
+///
 /// Every flag can be given as an environment variable instead; the flag wins.
 /// Any number of these processes may run; a lease on the log lets one at a
 /// time act for a model.
@@ -16,7 +17,7 @@
 #[bpaf(options, generate(flags))]
 pub(crate) struct Flags {
     /// Length of a lease's term, the same for all processes, in milliseconds
-    #[bpaf(long, env("CASSIA_LEASE_TERM_MS"), argument("MS"), fallback("9000".to_owned()))]
+    #[bpaf(long, env("CASSIA_LEASE_TERM_MS"), argument("MS"), fallback("9000".to_owned()), display_fallback)]
     lease_term_ms: String,
     #[bpaf(external(node_flags))]
     node: NodeFlags,
--- a/crates/ctl/src/flags.rs
+++ b/crates/ctl/src/flags.rs
@@ -7,6 +7,7 @@
 
 /// Publishes contracts and looks at processes.
 ///
+///
 /// Exit codes: 0 done; 2 what was given can't be accepted; 3 refused, since
 /// another change came first or the shares exceed the whole; 4 the log or a
 /// process can't be reached.
@@ -20,7 +21,7 @@
     pub(crate) command: Command,
 }
 
-/// What to do.
+/// Commands:
 #[derive(Bpaf, Clone, Debug)]
 pub(crate) enum Command {
     /// Check a contract; nothing is published
--- a/crates/entry/src/flags.rs
+++ b/crates/entry/src/flags.rs
@@ -11,6 +11,7 @@
 
 /// Takes callers' requests, admits them by contract, and answers them whole.
 ///
+///
 /// Every flag can be given as an environment variable instead; the flag wins.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, generate(flags))]
@@ -20,6 +21,9 @@
     listen: Option<String>,
     #[bpaf(external(node_flags))]
     node: NodeFlags,
+    /// Print the OpenAPI description of the HTTP interface and exit
+    #[bpaf(long)]
+    pub(crate) openapi: bool,
 }
 
 /// The settings, checked.
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -8,6 +8,7 @@
 mod generate;
 mod once;
 
+use std::io::stdout;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -21,7 +22,11 @@
 use crate::flags::Settings;
 
 fn main() -> ExitCode {
-    let settings = match flags::flags().run().check() {
+    let flags = flags::flags().run();
+    if flags.openapi {
+        return print_openapi();
+    }
+    let settings = match flags.check() {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("cassia-entry: {e}");
@@ -41,6 +46,17 @@
     }
 }
 
+fn print_openapi() -> ExitCode {
+    let version = semver::Version::new(0, 1, 0);
+    let printed =
+        api::api().and_then(|api| Ok(api.openapi("cassia-entry", version).write(&mut stdout())?));
+    if let Err(e) = printed {
+        eprintln!("cassia-entry: {e:#}");
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
+
 #[tokio::main]
 async fn run(settings: Settings) -> anyhow::Result<()> {
     start_logging()?;
--- a/crates/member/src/state.rs
+++ b/crates/member/src/state.rs
@@ -35,6 +35,8 @@
 const RUMOURS_PER_PAGE: usize = 20;
 /// Closed targets on one datagram.
 const CLOSED_PER_DATAGRAM: usize = 4;
+/// Addresses of possible peers that are kept.
+const MOST_SEEDS: usize = 512;
 /// Closed targets that are still passed on.
 const MOST_CLOSED: usize = 256;
 /// One probe in this many goes to a process taken for dead, so that two sides
@@ -139,12 +141,24 @@
         }
     }
 
-    /// Replaces the addresses that the platform's list or the settings name.
+    /// Sets the addresses that the settings name.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
         self.seeds.retain(|addr| *addr != self.me.addr);
     }
 
+    /// Adds addresses that the platform's list names; those that it named
+    /// before may be gone by now, and make room.
+    pub fn add_seeds(&mut self, listed: &[SocketAddr]) {
+        for addr in listed {
+            if *addr != self.me.addr && !self.seeds.contains(addr) {
+                self.seeds.push(*addr);
+            }
+        }
+        let surplus = self.seeds.len().saturating_sub(MOST_SEEDS);
+        self.seeds.drain(..surplus);
+    }
+
     /// Notes how far this process's configuration is.
     pub fn set_config_next(&mut self, next: u64) {
         self.config_next = next;
--- a/crates/node/src/board.rs
+++ b/crates/node/src/board.rs
@@ -6,6 +6,7 @@
 //! | `ahead` | the gossip controller | the configuration controller |
 //! | `peers` | the gossip controller | all |
 //! | `view`, `targets`, `slots` | the list controller; closings also by gossip | all |
+//! | `listed_peers` | the list controller | the gossip controller |
 //! | `stopping` | the run loop | all |
 
 use std::collections::BTreeMap;
@@ -93,6 +94,8 @@
     pub slots: ArcSwap<BTreeMap<TargetKind, u32>>,
     /// Changes whenever `config` does.
     pub config_next: watch::Sender<Offset>,
+    /// Where the platform's list says that peers are.
+    pub(crate) listed_peers: ArcSwap<Vec<SocketAddr>>,
     pub(crate) ahead: watch::Sender<Option<Ahead>>,
     view: Mutex<TargetView>,
     recent: Mutex<VecDeque<(Offset, String)>>,
@@ -123,6 +126,7 @@
             targets: ArcSwap::from_pointee(TargetSet::empty(now)),
             slots: ArcSwap::default(),
             config_next: watch::Sender::new(0),
+            listed_peers: ArcSwap::default(),
             ahead: watch::Sender::new(None),
             view: Mutex::default(),
             recent: Mutex::default(),
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -35,6 +35,7 @@
             },
             () = sleep_until(membership.next_tick().into()) => {
                 pass_on_closings(&board, &mut membership);
+                membership.add_seeds(&board.listed_peers.load());
                 membership.tick(Instant::now())
             }
             Ok(()) = config_next.changed() => {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -9,7 +9,7 @@
 use cassia_ids::HostId;
 use smol_str::SmolStr;
 
-/// The flags as they were typed; `check` lowers them.
+/// Settings that all programs share:
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(generate(node_flags))]
 pub struct NodeFlags {
@@ -45,13 +45,13 @@
     statsd: Option<String>,
     /// How long the balancer may still send requests after readiness is gone,
     /// in milliseconds
-    #[bpaf(long, env("CASSIA_DRAIN_LAG_MS"), argument("MS"), fallback("3000".to_owned()))]
+    #[bpaf(long, env("CASSIA_DRAIN_LAG_MS"), argument("MS"), fallback("3000".to_owned()), display_fallback)]
     drain_lag_ms: String,
     /// How long a planned stop waits for requests in flight, in milliseconds
-    #[bpaf(long, env("CASSIA_STOP_LIMIT_MS"), argument("MS"), fallback("60000".to_owned()))]
+    #[bpaf(long, env("CASSIA_STOP_LIMIT_MS"), argument("MS"), fallback("60000".to_owned()), display_fallback)]
     stop_limit_ms: String,
     /// How long the log keeps records, in seconds
-    #[bpaf(long, env("CASSIA_LOG_RETENTION_S"), argument("S"), fallback("604800".to_owned()))]
+    #[bpaf(long, env("CASSIA_LOG_RETENTION_S"), argument("S"), fallback("604800".to_owned()), display_fallback)]
     log_retention_s: String,
     /// Check the settings and exit
     #[bpaf(long)]
--- a/crates/node/src/targets.rs
+++ b/crates/node/src/targets.rs
@@ -20,7 +20,10 @@
     let complaints = RateLimit::default();
     loop {
         match list.fetch(Instant::now() + TIMEOUT).await {
-            Ok(copy) => board.change_targets(|view| (view.merge(copy), ())),
+            Ok(copy) => {
+                board.listed_peers.store(Arc::new(copy.peers.clone()));
+                board.change_targets(|view| (view.merge(copy), ()));
+            }
             Err(e) => {
                 if let Some(held_back) = complaints.due() {
                     let peer = e.peer.as_str();
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -55,6 +55,9 @@
     pub seq: u64,
     /// The targets.
     pub targets: Vec<Listed>,
+    /// Where the processes of this project on live hosts listen for peers.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
 }
 
 /// What all copies so far add up to.
--- a/crates/route/tests/view.rs
+++ b/crates/route/tests/view.rs
@@ -34,7 +34,7 @@
 }
 
 fn copy(seq: u64, targets: &[Listed]) -> ListCopy {
-    ListCopy { seq, targets: targets.to_vec() }
+    ListCopy { seq, targets: targets.to_vec(), peers: Vec::new() }
 }
 
 fn is_open(view: &TargetView, id: &str) -> bool {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 mod engine;
 mod list;
 mod log;
+mod proxy;
 mod scorer;
 mod serve;
 mod service;
@@ -26,6 +27,7 @@
 pub use crate::engine::EngineStandin;
 pub use crate::list::ListStandin;
 pub use crate::log::LogStandin;
+pub use crate::proxy::Proxy;
 pub use crate::scorer::ScorerStandin;
 pub use crate::serve::Handler;
 pub use crate::serve::Reply;
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -59,6 +59,11 @@
         });
     }
 
+    /// Lists a process of the project's own.
+    pub fn put_peer(&self, addr: SocketAddr) {
+        self.change_copy(|copy| copy.peers.push(addr));
+    }
+
     /// Marks a target as leaving.
     pub fn leave(&self, id: &str) {
         self.change(|targets| {
@@ -81,8 +86,12 @@
     }
 
     fn change(&self, change: impl FnOnce(&mut Vec<Listed>)) {
+        self.change_copy(|copy| change(&mut copy.targets));
+    }
+
+    fn change_copy(&self, change: impl FnOnce(&mut ListCopy)) {
         let mut current = lock(&self.current);
-        change(&mut current.targets);
+        change(&mut current);
         current.seq += 1;
         for (_, replica) in &self.replicas {
             if !*lock(&replica.frozen) {
--- /dev/null
+++ b/crates/standin/src/proxy.rs
@@ -0,0 +1,130 @@
+//! A way between two ends that can lose track of its connections.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// How often a connection that was lost track of looks whether that is over.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// A TCP proxy before one server; it stops when dropped.
+#[derive(Debug)]
+pub struct Proxy {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    to: SocketAddr,
+    /// Connections opened before this count are silent for good.
+    silent_before: AtomicU64,
+    opened: AtomicU64,
+    cut: AtomicBool,
+}
+
+impl Proxy {
+    /// Starts a proxy before a server.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had.
+    pub async fn start(to: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            to,
+            silent_before: AtomicU64::new(0),
+            opened: AtomicU64::new(0),
+            cut: AtomicBool::new(false),
+        });
+        let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
+        Ok(Self { addr, shared, task })
+    }
+
+    /// Tells where it listens.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Lets all present connections go silent for good, with both ends open;
+    /// new ones work.
+    pub fn silence(&self) {
+        let opened = self.shared.opened.load(Ordering::Acquire);
+        self.shared.silent_before.store(opened, Ordering::Release);
+    }
+
+    /// Cuts the way: nothing gets through, on old or new connections, until it
+    /// is mended.
+    pub fn set_cut(&self, cut: bool) {
+        self.shared.cut.store(cut, Ordering::Release);
+    }
+
+    /// Counts the connections that were opened.
+    #[must_use]
+    pub fn opened(&self) -> u64 {
+        self.shared.opened.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    loop {
+        let Ok((near, _)) = listener.accept().await else {
+            continue;
+        };
+        let number = shared.opened.fetch_add(1, Ordering::AcqRel);
+        tokio::spawn(join(near, Arc::clone(&shared), number));
+    }
+}
+
+async fn join(near: TcpStream, shared: Arc<Shared>, number: u64) {
+    let Ok(far) = TcpStream::connect(shared.to).await else {
+        return;
+    };
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    tokio::select! {
+        () = pass(near_read, far_write, &shared, number) => {}
+        () = pass(far_read, near_write, &shared, number) => {}
+    }
+}
+
+async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, shared: &Shared, number: u64) {
+    let mut buf = vec![0; 16 << 10];
+    loop {
+        let Ok(count) = from.read(&mut buf).await else {
+            return;
+        };
+        while shared.cut.load(Ordering::Acquire) {
+            sleep(LOOK_EVERY).await;
+        }
+        if number < shared.silent_before.load(Ordering::Acquire) {
+            std::future::pending::<()>().await;
+        }
+        if count == 0 || to.write_all(&buf[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! ```no_run
 //! # tokio::runtime::Runtime::new().unwrap().block_on(async {
-//! let mut trial = cassia_trials::Trial::start().await.unwrap();
+//! let trial = cassia_trials::Trial::start().await.unwrap();
 //! trial.start_entry("h1").await.unwrap();
 //! # });
 //! ```
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -9,6 +9,8 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -46,19 +48,34 @@
 
 /// Finds a loopback port that is free for TCP and for UDP.
 ///
+/// A port that the system gave out and took back may be given to the next
+/// socket before the process binds it. These come from below the range that
+/// the system gives out, and no two callers here get the same one.
+///
 /// # Errors
 ///
 /// There is none.
 pub(crate) fn free_addr() -> io::Result<SocketAddr> {
-    for _ in 0..100 {
-        let addr = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        if UdpSocket::bind(addr).is_ok() {
+    let offset = std::process::id().wrapping_mul(PORTS_PER_RUN) % PORTS;
+    for _ in 0..PORTS {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (offset + next) % PORTS;
+        let addr = SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).unwrap_or(0)));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
             return Ok(addr);
         }
     }
     Err(io::ErrorKind::AddrInUse.into())
 }
 
+/// The ports that processes are given: below 32768, where Linux begins to give
+/// ports out by itself.
+const FIRST_PORT: u32 = 10_000;
+const PORTS: u32 = 20_000;
+/// Keeps runs that follow each other apart, whose ports may still linger.
+const PORTS_PER_RUN: u32 = 211;
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 impl Process {
     pub(crate) fn start(
         name: &'static str,
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -23,6 +23,7 @@
 
 use crate::Caller;
 use crate::Process;
+use crate::process::program;
 
 const DATA_CENTRE: &str = "dc1";
 /// How long a trial waits for what must come about in the end. It is no bound
@@ -42,7 +43,6 @@
     pub scorer: ScorerStandin,
     /// More flags for every process.
     pub flags: Vec<String>,
-    seeds: Vec<SocketAddr>,
 }
 
 /// Asks again and again until the answer is yes; false if it never is.
@@ -72,7 +72,6 @@
             weights: WeightStandin::start(20).await?,
             scorer: ScorerStandin::start().await?,
             flags: vec!["--drain-lag-ms=200".to_owned()],
-            seeds: Vec::new(),
         })
     }
 
@@ -117,13 +116,36 @@
         Ok(service)
     }
 
+    /// Lists a target that was started apart, such as one behind a proxy.
+    pub fn put_target(&self, id: &str, addr: SocketAddr, what: TargetKind) {
+        self.list.put(listed(id, addr, what));
+    }
+
+    /// Runs the operators' program on the log, and gives its exit code and
+    /// what it printed as JSON.
+    ///
+    /// # Errors
+    ///
+    /// It can't be run.
+    pub async fn ctl(&self, arguments: &[&str]) -> anyhow::Result<(Option<i32>, Value)> {
+        let log = self.log.addr().to_string();
+        let output = tokio::process::Command::new(program("cassiactl")?)
+            .env("CASSIA_LOG", log)
+            .arg("--json")
+            .args(arguments)
+            .output()
+            .await?;
+        let printed = serde_json::from_slice(&output.stdout).unwrap_or(Value::Null);
+        Ok((output.status.code(), printed))
+    }
+
     /// Starts an entry process and waits until it answers operators.
     ///
     /// # Errors
     ///
     /// It doesn't start.
-    pub async fn start_entry(&mut self, host: &str) -> anyhow::Result<Process> {
-        self.start_process("cassia-entry", host, DATA_CENTRE).await
+    pub async fn start_entry(&self, host: &str) -> anyhow::Result<Process> {
+        self.start_process("cassia-entry", host, DATA_CENTRE, &[]).await
     }
 
     /// Starts a rollout process and waits until it answers operators.
@@ -131,8 +153,8 @@
     /// # Errors
     ///
     /// It doesn't start.
-    pub async fn start_rollout(&mut self, host: &str) -> anyhow::Result<Process> {
-        self.start_process("cassia-rollout", host, DATA_CENTRE).await
+    pub async fn start_rollout(&self, host: &str) -> anyhow::Result<Process> {
+        self.start_process("cassia-rollout", host, DATA_CENTRE, &[]).await
     }
 
     /// Starts a control process and waits until it answers operators.
@@ -140,23 +162,30 @@
     /// # Errors
     ///
     /// It doesn't start.
-    pub async fn start_control(&mut self, host: &str) -> anyhow::Result<Process> {
-        self.start_process("cassia-control", host, DATA_CENTRE).await
+    pub async fn start_control(&self, host: &str) -> anyhow::Result<Process> {
+        self.start_process("cassia-control", host, DATA_CENTRE, &[]).await
     }
 
-    /// Starts a process in a data centre.
+    /// Starts a process in a data centre, with more flags or others.
     ///
     /// # Errors
     ///
     /// It doesn't start.
     pub async fn start_process(
-        &mut self,
+        &self,
         name: &'static str,
         host: &str,
         data_centre: &str,
+        more: &[&str],
     ) -> anyhow::Result<Process> {
-        let process = Process::start(name, host, data_centre, &self.platform_flags())?;
-        self.seeds.push(process.link);
+        let mut flags = self.platform_flags();
+        for flag in more {
+            let name = flag.split_inclusive('=').next().unwrap_or(flag);
+            flags.retain(|f| !f.starts_with(name));
+            flags.push((*flag).to_owned());
+        }
+        let process = Process::start(name, host, data_centre, &flags)?;
+        self.list.put_peer(process.link);
         let ops = process.ops;
         let up = eventually(|| async move { operator().get(ops, "/health").await.status == 200 });
         ensure!(up.await, "{name} on {host} doesn't start");
@@ -236,7 +265,6 @@
             format!("--list={}", join(self.list.addrs())),
             format!("--weights={}", self.weights.addr()),
             format!("--scorer={}", self.scorer.addr()),
-            format!("--seeds={}", join(self.seeds.clone())),
         ];
         flags.extend(self.flags.iter().cloned());
         flags
--- a/crates/trials/tests/path.rs
+++ b/crates/trials/tests/path.rs
@@ -14,7 +14,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_whole_path_holds() -> anyhow::Result<()> {
-    let mut trial = Trial::start().await?;
+    let trial = Trial::start().await?;
     let caption = trial.start_engine("caption-1", trial.engine_spec("caption")).await?;
     let _second = trial.start_engine("caption-2", trial.engine_spec("caption")).await?;
     let _renewals = trial.start_engine("renewals-1", trial.engine_spec("renewals")).await?;
--- /dev/null
+++ b/crates/trials/tests/programs.rs
@@ -0,0 +1,159 @@
+//! What all programs have: help, checks of their settings, a state dump. And
+//! golden files of the interfaces.
+
+use std::process::Command;
+
+use cassia_trials::Caller;
+use cassia_trials::SAVANNA_KEY;
+use cassia_trials::Trial;
+use cassia_trials::savanna;
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+
+fn program(name: &str) -> Command {
+    let mut dir = std::env::current_exe().expect("the test's path");
+    dir.pop();
+    if dir.ends_with("deps") {
+        dir.pop();
+    }
+    let mut command = Command::new(dir.join(name));
+    command.env_clear();
+    command
+}
+
+const GOOD: [&str; 6] = [
+    "--host=h1",
+    "--data-centre=dc1",
+    "--link=127.0.0.1:1",
+    "--ops=127.0.0.1:2",
+    "--log=127.0.0.1:3",
+    "--list=127.0.0.1:4,127.0.0.1:5",
+];
+
+#[rstest]
+#[case("cassia-entry", &["--listen=127.0.0.1:6"])]
+#[case("cassia-rollout", &["--listen=127.0.0.1:6"])]
+#[case("cassia-control", &[])]
+fn settings_are_checked_before_anything_starts(#[case] name: &str, #[case] more: &[&str]) {
+    let good = program(name).args(GOOD).args(more).arg("--check").output().expect("it runs");
+    assert!(good.status.success(), "{good:?}");
+    let bad = program(name)
+        .args(["--host=no way", "--link=nowhere", "--stop-limit-ms=-1"])
+        .output()
+        .expect("it runs");
+    assert_eq!(bad.status.code(), Some(2));
+    let told = String::from_utf8_lossy(&bad.stderr).into_owned();
+    // All faults at once, each with the flag, the value and what is accepted.
+    for part in [
+        "--host is \"no way\"",
+        "--data-centre is missing",
+        "--link is \"nowhere\"; accepted: IP:PORT",
+        "--ops is missing",
+        "--log is missing",
+        "--list is missing",
+        "--stop-limit-ms is \"-1\"; accepted: a whole number from 0",
+    ] {
+        assert!(told.contains(part), "{part}: {told}");
+    }
+}
+
+#[rstest]
+#[case("cassia-entry")]
+#[case("cassia-rollout")]
+#[case("cassia-control")]
+#[case("cassiactl")]
+fn help_is_as_it_was(#[case] name: &str) {
+    let help = program(name).arg("--help").output().expect("it runs");
+    assert!(help.status.success());
+    insta::assert_snapshot!(format!("help-{name}"), String::from_utf8_lossy(&help.stdout));
+}
+
+#[rstest]
+#[case("cassia-entry")]
+#[case("cassia-rollout")]
+fn the_http_interface_is_as_it_was(#[case] name: &str) {
+    let openapi = program(name).arg("--openapi").output().expect("it runs");
+    insta::assert_snapshot!(format!("openapi-{name}"), String::from_utf8_lossy(&openapi.stdout));
+}
+
+#[test]
+fn the_contract_schema_is_as_it_was() {
+    let schema = program("cassiactl").arg("schema").output().expect("it runs");
+    insta::assert_snapshot!("contract-schema", String::from_utf8_lossy(&schema.stdout));
+}
+
+/// Replaces what differs from run to run: ids, tickets, addresses, times.
+fn steady(value: &Value) -> Value {
+    match value {
+        Value::Object(fields) => fields
+            .iter()
+            .map(|(name, value)| {
+                let varies = ["request_id", "ticket", "return_after_ms", "peer", "cursor", "id"];
+                let varies = varies.contains(&name.as_str()) && !value.is_null();
+                (name.clone(), if varies { json!("[varies]") } else { steady(value) })
+            })
+            .collect(),
+        Value::Array(items) => items.iter().map(steady).collect(),
+        other => other.clone(),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_session_is_as_it_was() -> anyhow::Result<()> {
+    let trial = Trial::start().await?;
+    let _engine = trial.start_engine("renewals-1", trial.engine_spec("renewals")).await?;
+    let _suggestion = trial.start_engine("suggest-1", trial.engine_spec("suggestion")).await?;
+    let _service = trial.start_service("status-1", "pass-status").await?;
+    let entry = trial.start_entry("h1").await?;
+    let rollout = trial.start_rollout("h1").await?;
+    let revision = trial.publish(&savanna(), 0).await?;
+    for process in [&entry, &rollout] {
+        trial.in_force(process, "savanna", revision).await?;
+        trial.sees(process, 3, 1).await?;
+    }
+    let gate = Caller::new(SAVANNA_KEY);
+    let mut session = Vec::new();
+    let mut note = |request: &str, reply: cassia_trials::Reply| {
+        session.push(json!({
+            "request": request,
+            "status": reply.status,
+            "body": steady(&reply.body),
+        }));
+        reply
+    };
+    let quote = json!({"prompt": "two adults", "max_tokens": 6});
+    note("quote", gate.post(entry.listen, "/v1/savanna/quote", &[], &quote).await);
+    note("no such route", gate.post(entry.listen, "/v1/savanna/refund", &[], &quote).await);
+    let stranger = Caller::new("wrong");
+    note("wrong key", stranger.post(entry.listen, "/v1/savanna/quote", &[], &quote).await);
+    let status = "/v1/savanna/pass-status";
+    let body = json!({"key": "pass-7"});
+    let reply = note("status, first", gate.post(entry.listen, status, &[], &body).await);
+    let ticket = reply.text("ticket").to_owned();
+    note("status, with ticket", gate.redeem(entry.listen, status, &ticket, &body).await);
+    note("status, again", gate.redeem(entry.listen, status, &ticket, &body).await);
+    let pull = json!({"version": 1, "prompts": ["a", "b"], "max_tokens": 4, "wait_ms": 30_000});
+    let lots = "/v1/savanna/trainers/suggestion-trainer/lots";
+    note("pull", gate.post(rollout.listen, lots, &[], &pull).await);
+    let few = json!({"version": 1, "prompts": ["a"]});
+    note("pull with few prompts", gate.post(rollout.listen, lots, &[], &few).await);
+    let odd = json!({"version": 1, "prompts": ["a", "b"], "cursor": "odd"});
+    note("pull with an odd cursor", gate.post(rollout.listen, lots, &[], &odd).await);
+    let other = "/v1/savanna/trainers/nobody/lots";
+    note("pull of an unknown trainer", gate.post(rollout.listen, other, &[], &pull).await);
+    insta::assert_json_snapshot!("session", session);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dump_shows_no_secret() -> anyhow::Result<()> {
+    let trial = Trial::start().await?;
+    let entry = trial.start_entry("h1").await?;
+    let revision = trial.publish(&savanna(), 0).await?;
+    trial.in_force(&entry, "savanna", revision).await?;
+    let dump = Caller::new("").get(entry.ops, "/state").await.body.to_string();
+    let hash = cassia_contract::key_hash(SAVANNA_KEY);
+    assert!(dump.contains("savanna") && !dump.contains(hash.as_str()), "{dump}");
+    Ok(())
+}
