--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -35,10 +35,11 @@
 use cassia_platform::PlatformError;
 use cassia_route::Budget;
 use cassia_route::Choice;
-use cassia_route::Policy;
+use cassia_route::Competes;
 use cassia_route::Request;
 use cassia_route::TargetKind;
 use cassia_route::Use;
+use cassia_route::Wanted;
 use serde_json::Value;
 use serde_json::json;
 use smol_str::format_smolstr;
@@ -188,14 +189,17 @@
     ) -> Result<Use, ApiError> {
         let kind = call.target_kind();
         let targets = self.board.targets.load();
-        let not = not.map(TargetId::as_str);
+        let wanted = Wanted {
+            competes: Competes::Callers,
+            affinity,
+            not: not.map(TargetId::as_str),
+            ..Wanted::of(&kind)
+        };
         // A target may close between the choice and this count; then another
         // is chosen. Past the count nothing is written but the request.
         for _ in 0..3 {
             let now = Instant::now();
-            let Choice::Target(target) =
-                targets.choose(&kind, Policy::TwoChoices, affinity, not, now)
-            else {
+            let Choice::Target(target) = targets.choose(&wanted, &mut rand::rng(), now) else {
                 break;
             };
             if let Some(used) = target.begin() {
--- a/crates/entry/src/flags.rs
+++ b/crates/entry/src/flags.rs
@@ -21,7 +21,7 @@
     listen: Option<String>,
     #[bpaf(external(node_flags))]
     node: NodeFlags,
-    /// Print the OpenAPI description of the HTTP interface and exit
+    /// Print the description of the HTTP interface and exit
     #[bpaf(long)]
     pub(crate) openapi: bool,
 }
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -7,31 +7,40 @@
 use cassia_platform::Engine;
 use cassia_route::Target;
 use cassia_route::TargetKind;
-use futures::StreamExt;
-use futures::stream;
-use tokio::time::sleep;
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
 
 use crate::Board;
 
-const EVERY: Duration = Duration::from_secs(1);
+/// One engine is asked in this time, the one with the oldest report first: a
+/// process's cost is the same before 26 engines and before 600.
+const EVERY: Duration = Duration::from_millis(100);
 const TIMEOUT: Duration = Duration::from_millis(500);
-const AT_ONCE: usize = 8;
-/// A target whose report fails is avoided until the next but one is due.
+/// How long an engine is avoided whose report failed.
 const AVOID: Duration = Duration::from_millis(1_500);
+/// Questions that may be open at once; one that hangs must not stop the rest.
+const OPEN_AT_ONCE: usize = 8;
 
 /// Runs until the process ends.
 pub async fn poll_loads(board: Arc<Board>, engine: Arc<dyn Engine>) {
+    let mut open = JoinSet::new();
+    let mut ticks = interval(EVERY);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        ticks.tick().await;
+        while open.try_join_next().is_some() {}
         let targets = board.targets.load_full();
-        let engines: Vec<_> = targets
+        let oldest = targets
             .all()
             .filter(|t| matches!(t.listed.what, TargetKind::Engine { .. }) && t.is_open())
-            .cloned()
-            .collect();
-        stream::iter(engines)
-            .for_each_concurrent(AT_ONCE, |target| poll_one(&board, engine.as_ref(), target))
-            .await;
-        sleep(EVERY).await;
+            .min_by_key(|t| t.asked_ms());
+        if let Some(target) = oldest.filter(|_| open.len() < OPEN_AT_ONCE) {
+            targets.asking(target, Instant::now());
+            let (board, engine) = (Arc::clone(&board), Arc::clone(&engine));
+            let target = Arc::clone(target);
+            open.spawn(async move { poll_one(&board, engine.as_ref(), target).await });
+        }
     }
 }
 
--- a/crates/node/src/targets.rs
+++ b/crates/node/src/targets.rs
@@ -20,7 +20,8 @@
     let complaints = RateLimit::default();
     loop {
         match list.fetch(Instant::now() + TIMEOUT).await {
-            Ok(copy) => {
+            Ok(None) => {}
+            Ok(Some(copy)) => {
                 board.listed_peers.store(Arc::new(copy.peers.clone()));
                 board.change_targets(|view| (view.merge(copy), ()));
             }
--- a/crates/platform/src/platform_http.rs
+++ b/crates/platform/src/platform_http.rs
@@ -6,11 +6,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use arc_swap::ArcSwapOption;
 use async_trait::async_trait;
 use bytes::Bytes;
 use cassia_once::Answer;
 use cassia_route::ListCopy;
 use http::Request;
+use http::StatusCode;
+use http::header::ETAG;
+use http::header::IF_NONE_MATCH;
 use http_body_util::Full;
 use serde::Deserialize;
 use serde::Serialize;
@@ -31,12 +35,20 @@
 #[derive(Debug, Default)]
 pub struct HttpPlatform {
     client: Arc<HttpClient>,
-    list: Vec<SocketAddr>,
+    list: Vec<Replica>,
     next_list: AtomicUsize,
     weights: Option<SocketAddr>,
     scorer: Option<SocketAddr>,
 }
 
+/// A replica of the list of targets.
+#[derive(Debug)]
+struct Replica {
+    addr: SocketAddr,
+    /// The tag of the copy that it gave last.
+    tag: ArcSwapOption<SmolStr>,
+}
+
 #[derive(Serialize)]
 struct ScoreRequest<'a> {
     prompt: &'a str,
@@ -52,7 +64,8 @@
     /// Names the replicas of the list of targets.
     #[must_use]
     pub fn with_list(mut self, replicas: Vec<SocketAddr>) -> Self {
-        self.list = replicas;
+        let replica = |addr| Replica { addr, tag: ArcSwapOption::empty() };
+        self.list = replicas.into_iter().map(replica).collect();
         self
     }
 
@@ -98,15 +111,36 @@
 
 #[async_trait]
 impl TargetList for HttpPlatform {
-    async fn fetch(&self, deadline: Instant) -> Result<ListCopy, PlatformError> {
+    async fn fetch(&self, deadline: Instant) -> Result<Option<ListCopy>, PlatformError> {
         let step = "list of targets";
         // Each time the next replica, so that one that hangs or lags is not
         // the only one asked.
         let turn = self.next_list.fetch_add(1, Ordering::Relaxed);
-        let Some(&replica) = self.list.get(turn % self.list.len().max(1)) else {
+        let Some(replica) = self.list.get(turn % self.list.len().max(1)) else {
             return Err(unset(step));
         };
-        self.client.json::<(), _>(step, replica, "/targets", None, deadline).await
+        let garbled = |e: String| PlatformError {
+            step,
+            peer: format_smolstr!("{}", replica.addr),
+            kind: ErrorKind::Garbled,
+            detail: e,
+        };
+        // A list of 600 targets is some 120 KB: it is only sent when this
+        // replica's copy has changed.
+        let tag = replica.tag.load_full();
+        let mut request = Request::get(format!("http://{}/targets", replica.addr));
+        if let Some(tag) = &tag {
+            request = request.header(IF_NONE_MATCH, tag.as_str());
+        }
+        let request = request.body(Full::default()).map_err(|e| garbled(e.to_string()))?;
+        let response = self.client.answer(step, replica.addr, request, deadline).await?;
+        if response.status() == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        let copy = serde_json::from_slice(response.body()).map_err(|e| garbled(e.to_string()))?;
+        let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
+        replica.tag.store(tag.map(|tag| Arc::new(tag.into())));
+        Ok(Some(copy))
     }
 }
 
--- a/crates/platform/src/services.rs
+++ b/crates/platform/src/services.rs
@@ -19,12 +19,13 @@
 /// The lagging list of live and leaving targets.
 #[async_trait]
 pub trait TargetList: Debug + Send + Sync {
-    /// Fetches the copy of whichever replica answers.
+    /// Fetches the copy of the next replica; none if that one still has the
+    /// copy that it gave last.
     ///
     /// # Errors
     ///
-    /// No replica can be reached.
-    async fn fetch(&self, deadline: Instant) -> Result<ListCopy, PlatformError>;
+    /// The replica can't be reached.
+    async fn fetch(&self, deadline: Instant) -> Result<Option<ListCopy>, PlatformError>;
 }
 
 /// The newest version of a model.
--- a/crates/rollout/src/pump.rs
+++ b/crates/rollout/src/pump.rs
@@ -8,9 +8,9 @@
 use cassia_platform::Piece;
 use cassia_platform::PlatformError;
 use cassia_route::Choice;
-use cassia_route::Policy;
 use cassia_route::TargetKind;
 use cassia_route::Use;
+use cassia_route::Wanted;
 use cassia_sample::Label;
 use cassia_sample::Labeller;
 use cassia_sample::Sample;
@@ -127,7 +127,7 @@
 
 fn choose(app: &App, kind: &TargetKind) -> Option<Use> {
     let targets = app.board.targets.load();
-    match targets.choose(kind, Policy::TwoChoices, None, None, Instant::now()) {
+    match targets.choose(&Wanted::of(kind), &mut rand::rng(), Instant::now()) {
         Choice::Target(target) => target.begin(),
         Choice::NoneOpen => None,
     }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -35,6 +35,46 @@
     LeastReported,
 }
 
+/// Whose requests at a target delay a new one there.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Competes {
+    /// All: the request waits behind whatever is there.
+    #[default]
+    All,
+    /// Callers' only: the engine preempts trainers' samples for it.
+    Callers,
+}
+
+/// What a target is wanted for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// The kind of target.
+    pub kind: &'a TargetKind,
+    /// How to choose.
+    pub policy: Policy,
+    /// Whose requests there count.
+    pub competes: Competes,
+    /// A hash of the prompt's prefix: requests that share it go to the same
+    /// engine as long as that one is not much busier.
+    pub affinity: Option<u64>,
+    /// A target that has just failed for this request.
+    pub not: Option<&'a str>,
+}
+
+impl<'a> Wanted<'a> {
+    /// Wants any target of a kind, chosen by default.
+    #[must_use]
+    pub fn of(kind: &'a TargetKind) -> Self {
+        Self {
+            kind,
+            policy: Policy::default(),
+            competes: Competes::default(),
+            affinity: None,
+            not: None,
+        }
+    }
+}
+
 /// One target as this process sees it; shared and updated without locks.
 #[derive(Debug)]
 pub struct Target {
@@ -46,8 +86,12 @@
     others: AtomicU32,
     /// Requests of callers at the target, of all processes, by its report.
     callers: AtomicU32,
+    /// Of those, the ones of other processes, where this one serves callers.
+    other_callers: AtomicU32,
     /// When the report was made, in milliseconds of the set's clock.
     reported_ms: AtomicU64,
+    /// When it was last asked for its load, on the same clock.
+    asked_ms: AtomicU64,
     /// Until when it is avoided after a failure.
     avoided_until_ms: AtomicU64,
 }
@@ -80,7 +124,9 @@
             in_flight: AtomicU32::new(0),
             others: AtomicU32::new(0),
             callers: AtomicU32::new(0),
+            other_callers: AtomicU32::new(0),
             reported_ms: AtomicU64::new(0),
+            asked_ms: AtomicU64::new(0),
             avoided_until_ms: AtomicU64::new(0),
         }
     }
@@ -115,6 +161,12 @@
         self.callers.load(Ordering::Relaxed)
     }
 
+    /// Tells when it was last asked for its load, in the set's milliseconds.
+    #[must_use]
+    pub fn asked_ms(&self) -> u64 {
+        self.asked_ms.load(Ordering::Relaxed)
+    }
+
     /// Counts a request in, if the target is still open.
     #[must_use]
     pub fn begin(self: &Arc<Self>) -> Option<Use> {
@@ -123,10 +175,18 @@
         self.is_open().then_some(counted)
     }
 
-    fn score(&self, now_ms: u64) -> u64 {
+    /// What others have there that counts, as of the last report.
+    fn reported_others(&self, competes: Competes) -> u32 {
+        match competes {
+            Competes::All => self.others.load(Ordering::Relaxed),
+            Competes::Callers => self.other_callers.load(Ordering::Relaxed),
+        }
+    }
+
+    fn score(&self, competes: Competes, now_ms: u64) -> u64 {
         let age = now_ms.saturating_sub(self.reported_ms.load(Ordering::Relaxed));
         let halvings = u32::try_from(age / REPORT_HALF_LIFE_MS).unwrap_or(u32::MAX);
-        let others = u64::from(self.others.load(Ordering::Relaxed)) * SCORE_UNIT;
+        let others = u64::from(self.reported_others(competes)) * SCORE_UNIT;
         let others = others.checked_shr(halvings).unwrap_or(0);
         let own = u64::from(self.in_flight()) * SCORE_UNIT;
         (own + others) / u64::from(self.listed.slots.max(1))
@@ -200,43 +260,41 @@
     /// not of trainers, `age` ago.
     pub fn reported(&self, target: &Target, load: u32, callers: u32, age: Duration, now: Instant) {
         target.callers.store(callers, Ordering::Relaxed);
+        let other_callers = callers.saturating_sub(target.in_flight());
+        target.other_callers.store(other_callers, Ordering::Relaxed);
         let others = load.saturating_sub(target.in_flight());
         let at_ms = self.millis(now).saturating_sub(millis(age));
         target.others.store(others, Ordering::Relaxed);
         target.reported_ms.store(at_ms, Ordering::Relaxed);
     }
 
+    /// Notes that a target is being asked for its load.
+    pub fn asking(&self, target: &Target, now: Instant) {
+        // Never 0, which stands for "not asked yet".
+        target.asked_ms.store(self.millis(now).max(1), Ordering::Relaxed);
+    }
+
     /// Avoids a target until a moment, after it failed.
     pub fn avoid(&self, target: &Target, until: Instant) {
         target.avoided_until_ms.fetch_max(self.millis(until), Ordering::Relaxed);
     }
 
-    /// Chooses a target of a kind.
-    ///
-    /// `affinity` is a hash of the prompt's prefix: requests that share it go
-    /// to the same engine as long as that one is not much busier. `not` is a
-    /// target that has just failed for this request.
+    /// Chooses a target.
     #[must_use]
-    pub fn choose(
-        &self,
-        kind: &TargetKind,
-        policy: Policy,
-        affinity: Option<u64>,
-        not: Option<&str>,
-        now: Instant,
-    ) -> Choice {
-        let all = self.of_kind(kind);
+    pub fn choose(&self, wanted: &Wanted<'_>, rng: &mut impl Rng, now: Instant) -> Choice {
+        let all = self.of_kind(wanted.kind);
         let now_ms = self.millis(now);
-        let fit = |t: &Arc<Target>| t.is_open() && not != Some(t.listed.id.as_str());
+        let fit = |t: &Arc<Target>| t.is_open() && wanted.not != Some(t.listed.id.as_str());
         let good = |t: &Arc<Target>| fit(t) && !t.is_avoided(now_ms);
-        let found = match policy {
-            Policy::TwoChoices => two_choices(all, affinity, now_ms, good),
-            Policy::Random => any(all, good),
-            Policy::LeastReported => least_reported(all, good),
+        let found = match wanted.policy {
+            Policy::TwoChoices => two_choices(all, wanted, now_ms, good, rng),
+            Policy::Random => any(all, good, rng),
+            Policy::LeastReported => least_reported(all, wanted.competes, good),
         };
         // One that is avoided, or that failed for this request already, is
         // still better than none.
-        let found = found.or_else(|| any(all, fit)).or_else(|| any(all, |t| t.is_open()));
+        let found = found.or_else(|| any(all, fit, rng));
+        let found = found.or_else(|| any(all, |t| t.is_open(), rng));
         found.map_or(Choice::NoneOpen, |t| Choice::Target(Arc::clone(t)))
     }
 
@@ -257,34 +315,41 @@
 }
 
 /// Finds a fit target, from a random place on.
-fn any(all: &[Arc<Target>], fit: impl Fn(&Arc<Target>) -> bool) -> Option<&Arc<Target>> {
+fn any<'a>(
+    all: &'a [Arc<Target>],
+    fit: impl Fn(&Arc<Target>) -> bool,
+    rng: &mut impl Rng,
+) -> Option<&'a Arc<Target>> {
     if all.is_empty() {
         return None;
     }
-    let (before, after) = all.split_at(rand::rng().random_range(0..all.len()));
+    let (before, after) = all.split_at(rng.random_range(0..all.len()));
     after.iter().chain(before).find(|t| fit(t))
 }
 
-fn two_choices(
-    all: &[Arc<Target>],
-    affinity: Option<u64>,
+fn two_choices<'a>(
+    all: &'a [Arc<Target>],
+    wanted: &Wanted<'_>,
     now_ms: u64,
     good: impl Fn(&Arc<Target>) -> bool,
-) -> Option<&Arc<Target>> {
-    let one = any(all, &good)?;
-    let two = any(all, &good)?;
-    let better = if two.score(now_ms) < one.score(now_ms) { two } else { one };
-    let Some(prefix) = affinity else {
+    rng: &mut impl Rng,
+) -> Option<&'a Arc<Target>> {
+    let score = |t: &Target| t.score(wanted.competes, now_ms);
+    let one = any(all, &good, rng)?;
+    let two = any(all, &good, rng)?;
+    let better = if score(two) < score(one) { two } else { one };
+    let Some(prefix) = wanted.affinity else {
         return Some(better);
     };
     let home = all.iter().filter(|t| good(t)).max_by_key(|t| weight(prefix, &t.listed.id))?;
-    let bound = better.score(now_ms) + AFFINITY_ALLOWANCE;
-    Some(if home.score(now_ms) <= bound { home } else { better })
+    let bound = score(better) + AFFINITY_ALLOWANCE;
+    Some(if score(home) <= bound { home } else { better })
 }
 
 fn least_reported(
     all: &[Arc<Target>],
+    competes: Competes,
     good: impl Fn(&Arc<Target>) -> bool,
 ) -> Option<&Arc<Target>> {
-    all.iter().filter(|t| good(t)).min_by_key(|t| t.others.load(Ordering::Relaxed))
+    all.iter().filter(|t| good(t)).min_by_key(|t| t.reported_others(competes))
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,10 +20,12 @@
 
 pub use crate::budget::Budget;
 pub use crate::choose::Choice;
+pub use crate::choose::Competes;
 pub use crate::choose::Policy;
 pub use crate::choose::Target;
 pub use crate::choose::TargetSet;
 pub use crate::choose::Use;
+pub use crate::choose::Wanted;
 pub use crate::gate::Entered;
 pub use crate::gate::Gate;
 pub use crate::gate::GateState;
--- a/crates/route/tests/view.rs
+++ b/crates/route/tests/view.rs
@@ -1,5 +1,6 @@
 //! A target that is leaving stays closed, whatever the lagging copies show.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -12,8 +13,11 @@
 use cassia_route::TargetKind;
 use cassia_route::TargetSet;
 use cassia_route::TargetView;
+use cassia_route::Wanted;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use rstest::rstest;
 
 fn kind() -> TargetKind {
@@ -37,6 +41,13 @@
     ListCopy { seq, targets: targets.to_vec(), peers: Vec::new() }
 }
 
+fn rng() -> SmallRng {
+    // Each test has a thread of its own, and so always the same numbers.
+    thread_local!(static SEED: Cell<u64> = const { Cell::new(1) });
+    SEED.set(SEED.get() + 1);
+    SmallRng::seed_from_u64(SEED.get())
+}
+
 fn is_open(view: &TargetView, id: &str) -> bool {
     view.open().any(|l| l.id == id)
 }
@@ -140,14 +151,14 @@
     let mut view = TargetView::default();
     view.merge(copy(1, &[listed("e", 1, false)]));
     let old = set(&view, &TargetSet::empty(now));
-    let Choice::Target(chosen) = old.choose(&kind(), Policy::TwoChoices, None, None, now) else {
+    let Choice::Target(chosen) = old.choose(&Wanted::of(&kind()), &mut rng(), now) else {
         panic!("there is a target");
     };
     view.merge(copy(2, &[listed("e", 1, true)]));
     let new = set(&view, &old);
     assert!(chosen.begin().is_none(), "work began at a target that is leaving");
     assert_eq!(chosen.in_flight(), 0);
-    assert!(matches!(new.choose(&kind(), Policy::TwoChoices, None, None, now), Choice::NoneOpen));
+    assert!(matches!(new.choose(&Wanted::of(&kind()), &mut rng(), now), Choice::NoneOpen));
 }
 
 #[test]
@@ -173,7 +184,8 @@
 }
 
 fn chosen(set: &TargetSet, policy: Policy, not: Option<&str>, now: Instant) -> Arc<Target> {
-    match set.choose(&kind(), policy, None, not, now) {
+    let kind = kind();
+    match set.choose(&Wanted { policy, not, ..Wanted::of(&kind) }, &mut rng(), now) {
         Choice::Target(target) => target,
         Choice::NoneOpen => panic!("there is a target"),
     }
@@ -223,7 +235,9 @@
 fn a_prefix_goes_to_its_engine_until_that_one_is_much_busier() {
     let now = Instant::now();
     let set = many(10);
-    let home = |set: &TargetSet| match set.choose(&kind(), Policy::TwoChoices, Some(5), None, now) {
+    let kind = kind();
+    let wanted = Wanted { affinity: Some(5), ..Wanted::of(&kind) };
+    let home = |set: &TargetSet| match set.choose(&wanted, &mut rng(), now) {
         Choice::Target(target) => target,
         Choice::NoneOpen => panic!("there is a target"),
     };
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -103,7 +103,13 @@
 
 #[async_trait]
 impl Handler for Replica {
-    async fn handle(&self, _: Request<Bytes>) -> Reply {
-        Reply::Json(200, json!(*lock(&self.copy)))
+    async fn handle(&self, request: Request<Bytes>) -> Reply {
+        let copy = lock(&self.copy);
+        let tag = format!("\"{}\"", copy.seq);
+        let has = request.headers().get("if-none-match");
+        if has.is_some_and(|has| has.as_bytes() == tag.as_bytes()) {
+            return Reply::Bytes(304, Vec::new(), Bytes::new());
+        }
+        Reply::Bytes(200, vec![("etag", tag)], Bytes::from(json!(*copy).to_string()))
     }
 }
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -34,6 +34,8 @@
     /// Connections opened before this count are silent for good.
     silent_before: AtomicU64,
     opened: AtomicU64,
+    /// Bytes passed on, both ways.
+    passed: AtomicU64,
     cut: AtomicBool,
 }
 
@@ -50,6 +52,7 @@
             to,
             silent_before: AtomicU64::new(0),
             opened: AtomicU64::new(0),
+            passed: AtomicU64::new(0),
             cut: AtomicBool::new(false),
         });
         let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
@@ -75,6 +78,12 @@
         self.shared.cut.store(cut, Ordering::Release);
     }
 
+    /// Counts the bytes passed on, both ways.
+    #[must_use]
+    pub fn passed(&self) -> u64 {
+        self.shared.passed.load(Ordering::Acquire)
+    }
+
     /// Counts the connections that were opened.
     #[must_use]
     pub fn opened(&self) -> u64 {
@@ -123,6 +132,7 @@
         if number < shared.silent_before.load(Ordering::Acquire) {
             std::future::pending::<()>().await;
         }
+        shared.passed.fetch_add(count as u64, Ordering::AcqRel);
         if count == 0 || to.write_all(&buf[..count]).await.is_err() {
             return;
         }
