--- a/crates/rollout/src/app.rs
+++ b/crates/rollout/src/app.rs
@@ -151,6 +151,7 @@
             model: trainer.model.clone(),
             priority: cassia_contract::Class::Rollout.engine_priority(contract.priority),
             share_percent: contract.share_percent,
+            idle_weight_percent: contract.idle_weight_percent,
             max_tokens: body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
         };
         let pull = lower(body)?;
--- a/crates/rollout/src/keepers.rs
+++ b/crates/rollout/src/keepers.rs
@@ -41,6 +41,7 @@
     pub(crate) model: ModelName,
     pub(crate) priority: u32,
     pub(crate) share_percent: u32,
+    pub(crate) idle_weight_percent: u32,
     pub(crate) max_tokens: u32,
 }
 
@@ -69,7 +70,7 @@
     trainer: TrainerId,
     done: u64,
     running: usize,
-    lots_ahead: usize,
+    groups_ahead: usize,
     counts: cassia_sample::Counts,
 }
 
@@ -129,7 +130,7 @@
                 trainer: id.trainer.clone(),
                 done: e.keeper.done_samples(),
                 running: e.keeper.running_samples(),
-                lots_ahead: e.keeper.lots_ahead(),
+                groups_ahead: e.keeper.groups_ahead(),
                 counts: e.keeper.counts(),
             })
             .collect()
--- a/crates/rollout/src/pump.rs
+++ b/crates/rollout/src/pump.rs
@@ -8,9 +8,11 @@
 use cassia_platform::Piece;
 use cassia_platform::PlatformError;
 use cassia_route::Choice;
+use cassia_route::Occupancy;
 use cassia_route::TargetKind;
 use cassia_route::Use;
 use cassia_route::Wanted;
+use cassia_route::room;
 use cassia_sample::Label;
 use cassia_sample::Labeller;
 use cassia_sample::Sample;
@@ -32,8 +34,6 @@
 /// How long an engine is avoided after it failed.
 const AVOID: Duration = Duration::from_secs(1);
 const SCORE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Slots that are left free for callers, as a part of all: one in this many.
-const FREE_FOR_CALLERS: u32 = 8;
 
 /// How an attempt at one engine ended.
 enum Attempt {
@@ -51,30 +51,25 @@
             continue;
         }
         for (job, running) in app.keepers.jobs() {
-            let in_use = u32::try_from(running).unwrap_or(u32::MAX);
-            let room = room(&app, &job, in_use).saturating_sub(running);
-            for start in app.keepers.start(&job.id, room) {
+            for start in app.keepers.start(&job.id, room_for(&app, &job, running)) {
                 tokio::spawn(see_through(Arc::clone(&app), job.clone(), start));
             }
         }
     }
 }
 
-/// How many samples of a job may run at once: the customer's share of what
-/// callers leave free, or all that other trainers don't use of it. A share
-/// that is lent comes back as the other's samples end, since the other one
-/// then sees these here in the engines' reports.
-fn room(app: &App, job: &Job, running: u32) -> usize {
+/// How many samples of a job may be at the engines at once.
+fn room_for(app: &App, job: &Job, running: usize) -> usize {
     let kind = TargetKind::Engine { model: job.model.clone() };
     let slots = app.board.slots.load().get(&kind).copied().unwrap_or(0);
     let targets = app.board.targets.load();
     let engines = targets.of_kind(&kind).iter();
-    let callers: u32 = engines.clone().map(|t| t.callers()).sum();
-    let rollouts: u32 = engines.map(|t| t.load().saturating_sub(t.callers())).sum();
-    let free = slots.saturating_sub(callers + slots.div_ceil(FREE_FOR_CALLERS));
-    let others = rollouts.saturating_sub(running);
-    let room = (free * job.share_percent / 100).max(free.saturating_sub(others));
-    usize::try_from(room.max(1)).unwrap_or(usize::MAX)
+    let callers = engines.clone().map(|t| t.callers()).sum();
+    let samples = engines.map(|t| t.load().saturating_sub(t.callers())).sum();
+    let own = u32::try_from(running).unwrap_or(u32::MAX);
+    let seen = Occupancy { slots, callers, samples, own };
+    let room = room(seen, job.share_percent, job.idle_weight_percent);
+    usize::try_from(room).unwrap_or(usize::MAX).saturating_sub(running)
 }
 
 async fn see_through(app: Arc<App>, job: Job, start: Start) {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -15,6 +15,7 @@
 mod budget;
 mod choose;
 mod gate;
+mod room;
 mod subset;
 mod view;
 
@@ -31,6 +32,8 @@
 pub use crate::gate::GateState;
 pub use crate::gate::Request;
 pub use crate::gate::Waiter;
+pub use crate::room::Occupancy;
+pub use crate::room::room;
 pub use crate::subset::highest;
 pub use crate::subset::rank;
 pub use crate::subset::subset;
--- a/crates/sample/src/keeper.rs
+++ b/crates/sample/src/keeper.rs
@@ -219,7 +219,7 @@
     pub fn start(&mut self, room: usize) -> Vec<Start> {
         let mut starts = Vec::new();
         let from = self.first_open_prompt();
-        let window = self.spec.groups * (1 + self.lots_ahead());
+        let window = self.spec.groups + self.groups_ahead();
         let open: Vec<_> = self.prompts.range(from..).take(window).collect();
         for (&prompt, text) in open {
             let group = self.groups.entry(prompt).or_default();
@@ -259,15 +259,17 @@
         self.groups.get(&prompt).is_some_and(|group| group.slots.iter().any(|s| s.runs(id)))
     }
 
-    /// How many lots past the next one are generated ahead.
+    /// How many groups past the next lot are generated ahead.
     ///
     /// A sample made k lots ahead is about k versions old when it is handed
     /// over, so the bound caps the depth. Within it, a contract that weighs
-    /// idle time more goes deeper.
+    /// idle time more goes deeper, by parts of a lot.
     #[must_use]
-    pub fn lots_ahead(&self) -> usize {
-        let depth = self.spec.staleness_bound * u64::from(self.spec.idle_weight_percent) / 100;
-        usize::try_from(depth).unwrap_or(usize::MAX).min(self.prompts.len() / self.spec.groups)
+    pub fn groups_ahead(&self) -> usize {
+        let bound = usize::try_from(self.spec.staleness_bound).unwrap_or(usize::MAX);
+        let weight = usize::try_from(self.spec.idle_weight_percent).unwrap_or(100);
+        let most = self.prompts.len().saturating_sub(self.spec.groups);
+        (self.spec.groups.saturating_mul(bound).saturating_mul(weight) / 100).min(most)
     }
 
     /// Takes the trainer's place and version over from its pull.
