--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -68,28 +68,15 @@
     choice: Policy,
     /// Whether callers go before samples, at the engines and in the choice.
     callers_first: bool,
-    /// Whether samples begin at engines that serve the newest version.
-    fresh: bool,
     /// Whether lots are generated ahead as the contract weighs it.
     ahead: bool,
 }
 
-const CHOSEN: Policies = Policies {
-    name: "chosen",
-    choice: Policy::TwoChoices,
-    callers_first: true,
-    fresh: true,
-    ahead: true,
-};
-const PLAIN: Policies = Policies {
-    name: "plain",
-    choice: Policy::Random,
-    callers_first: false,
-    fresh: false,
-    ahead: false,
-};
+const CHOSEN: Policies =
+    Policies { name: "chosen", choice: Policy::TwoChoices, callers_first: true, ahead: true };
+const PLAIN: Policies =
+    Policies { name: "plain", choice: Policy::Random, callers_first: false, ahead: false };
 const HERD: Policies = Policies { name: "least reported", choice: Policy::LeastReported, ..CHOSEN };
-const NOT_FRESH: Policies = Policies { name: "chosen, any version", fresh: false, ..CHOSEN };
 const NO_AHEAD: Policies = Policies { name: "chosen, none ahead", ahead: false, ..CHOSEN };
 
 /// Runs all and gives the table.
@@ -115,7 +102,7 @@
         let alone = World::new(load, CHOSEN, false, seed).run(seconds * SECOND);
         let base = alone.callers.value_at_quantile(0.99);
         table.row(alone.cells(load, CHOSEN, false, base));
-        for policies in [CHOSEN, PLAIN, HERD, NOT_FRESH, NO_AHEAD] {
+        for policies in [CHOSEN, PLAIN, HERD, NO_AHEAD] {
             let outcome = World::new(load, policies, true, seed).run(seconds * SECOND);
             table.row(outcome.cells(load, policies, true, base));
         }
@@ -345,13 +332,7 @@
     fn dispatch(&mut self, job: JobId) {
         let first = self.policies.callers_first && self.jobs[job].caller;
         let competes = if first { Competes::Callers } else { Competes::All };
-        let fresh = self.policies.fresh && !self.jobs[job].caller;
-        let wanted = Wanted {
-            policy: self.policies.choice,
-            competes,
-            fresh: fresh.then(|| self.targets.newest(&self.kind)),
-            ..Wanted::of(&self.kind)
-        };
+        let wanted = Wanted { policy: self.policies.choice, competes, ..Wanted::of(&self.kind) };
         let now = self.instant();
         let Choice::Target(target) = self.targets.choose(&wanted, &mut self.choices, now) else {
             return;
@@ -492,7 +473,6 @@
         let now = self.instant();
         if let Some(target) = self.targets.all().find(|t| t.listed.id == id) {
             self.targets.reported(target, load, callers, lag, now);
-            self.targets.serves(target, Some(self.engines[engine].version));
         }
         self.at(self.now + SECOND, Event::Report { engine });
     }
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -52,7 +52,6 @@
         Ok(load) => {
             let age = Duration::from_millis(load.age_ms);
             targets.reported(&target, load.requests, load.callers, age, now);
-            targets.serves(&target, load.version);
         }
         Err(_) => targets.avoid(&target, now + AVOID),
     }
--- a/crates/rollout/src/pump.rs
+++ b/crates/rollout/src/pump.rs
@@ -122,9 +122,7 @@
 
 fn choose(app: &App, kind: &TargetKind) -> Option<Use> {
     let targets = app.board.targets.load();
-    // While new weights spread, samples begin where they have arrived.
-    let wanted = Wanted { fresh: Some(targets.newest(kind)), ..Wanted::of(kind) };
-    match targets.choose(&wanted, &mut rand::rng(), Instant::now()) {
+    match targets.choose(&Wanted::of(kind), &mut rand::rng(), Instant::now()) {
         Choice::Target(target) => target.begin(),
         Choice::NoneOpen => None,
     }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use cassia_ids::Version;
 use rand::Rng;
 
 use crate::Listed;
@@ -55,9 +54,6 @@
     pub policy: Policy,
     /// Whose requests there count.
     pub competes: Competes,
-    /// Engines that serve at least this version and have a free slot go
-    /// before the others.
-    pub fresh: Option<Version>,
     /// A hash of the prompt's prefix: requests that share it go to the same
     /// engine as long as that one is not much busier.
     pub affinity: Option<u64>,
@@ -73,7 +69,6 @@
             kind,
             policy: Policy::default(),
             competes: Competes::default(),
-            fresh: None,
             affinity: None,
             not: None,
         }
@@ -93,8 +88,6 @@
     callers: AtomicU32,
     /// Of those, the ones of other processes, where this one serves callers.
     other_callers: AtomicU32,
-    /// The version that it serves, by its report; 0 for none or unknown.
-    version: AtomicU64,
     /// When the report was made, in milliseconds of the set's clock.
     reported_ms: AtomicU64,
     /// When it was last asked for its load, on the same clock.
@@ -132,7 +125,6 @@
             others: AtomicU32::new(0),
             callers: AtomicU32::new(0),
             other_callers: AtomicU32::new(0),
-            version: AtomicU64::new(0),
             reported_ms: AtomicU64::new(0),
             asked_ms: AtomicU64::new(0),
             avoided_until_ms: AtomicU64::new(0),
@@ -200,13 +192,6 @@
         (own + others) / u64::from(self.listed.slots.max(1))
     }
 
-    /// Whether it serves the wanted version and has a slot for it.
-    fn is_fresh(&self, wanted: &Wanted<'_>, now_ms: u64) -> bool {
-        let version = self.version.load(Ordering::Relaxed);
-        wanted.fresh.is_none_or(|least| version >= least)
-            && self.score(wanted.competes, now_ms) < SCORE_UNIT
-    }
-
     fn is_avoided(&self, now_ms: u64) -> bool {
         now_ms < self.avoided_until_ms.load(Ordering::Relaxed)
     }
@@ -283,18 +268,6 @@
         target.reported_ms.store(at_ms, Ordering::Relaxed);
     }
 
-    /// Takes in which version a target says that it serves.
-    pub fn serves(&self, target: &Target, version: Option<Version>) {
-        target.version.store(version.unwrap_or(0), Ordering::Relaxed);
-    }
-
-    /// Tells the newest version that an open target of a kind serves.
-    #[must_use]
-    pub fn newest(&self, kind: &TargetKind) -> Version {
-        let open = self.of_kind(kind).iter().filter(|t| t.is_open());
-        open.map(|t| t.version.load(Ordering::Relaxed)).max().unwrap_or(0)
-    }
-
     /// Notes that a target is being asked for its load.
     pub fn asking(&self, target: &Target, now: Instant) {
         // Never 0, which stands for "not asked yet".
@@ -314,11 +287,7 @@
         let fit = |t: &Arc<Target>| t.is_open() && wanted.not != Some(t.listed.id.as_str());
         let good = |t: &Arc<Target>| fit(t) && !t.is_avoided(now_ms);
         let found = match wanted.policy {
-            Policy::TwoChoices => {
-                let fresh = |t: &Arc<Target>| good(t) && t.is_fresh(wanted, now_ms);
-                let first = wanted.fresh.and_then(|_| two_choices(all, wanted, now_ms, fresh, rng));
-                first.or_else(|| two_choices(all, wanted, now_ms, good, rng))
-            }
+            Policy::TwoChoices => two_choices(all, wanted, now_ms, good, rng),
             Policy::Random => any(all, good, rng),
             Policy::LeastReported => least_reported(all, wanted.competes, good),
         };
