Generate at most one lot ahead, by the contract's weighing

Ruled out: depths by the square of the weight (no measurement beyond the same frontier); none ahead (idle 56%).

Change: the depth is the weight's part of one lot, none where no staleness is allowed.

Conclusion: the second lot ahead bought no idle time. Each user gets more of what it weighs more.

--- a/crates/sample/src/keeper.rs
+++ b/crates/sample/src/keeper.rs
@@ -261,15 +261,17 @@
 
     /// How many groups past the next lot are generated ahead.
     ///
-    /// A sample made k lots ahead is about k versions old when it is handed
-    /// over, so the bound caps the depth. Within it, a contract that weighs
-    /// idle time more goes deeper, by parts of a lot.
+    /// A sample made a lot ahead is about a version older when it is handed
+    /// over. So a contract that weighs idle time more goes deeper, by parts of
+    /// a lot, up to one lot: a second one saves no more idle time and ages.
     #[must_use]
     pub fn groups_ahead(&self) -> usize {
-        let bound = usize::try_from(self.spec.staleness_bound).unwrap_or(usize::MAX);
+        if self.spec.staleness_bound == 0 {
+            return 0;
+        }
         let weight = usize::try_from(self.spec.idle_weight_percent).unwrap_or(100);
-        let most = self.prompts.len().saturating_sub(self.spec.groups);
-        (self.spec.groups.saturating_mul(bound).saturating_mul(weight) / 100).min(most)
+        let shown = self.prompts.len().saturating_sub(self.spec.groups);
+        (self.spec.groups.saturating_mul(weight) / 100).min(shown)
     }
 
     /// Takes the trainer's place and version over from its pull.
