Hand samples on at a planned stop; leave failing targets longer; show queues

Cause: a planned stop of a rollout process dropped what it kept and ended waiting pulls with an error. A target that fell silent was tried again each second by callers' requests. Queues showed in the dump only, and nobody was told of a trainer that stands still.

Ruled out: a record of kept samples on the log, which costs megabytes a lot for what the cursor makes safe to lose.

Change: at a stop the samples on their way end, everything kept goes to the process that the trainer's pulls go to next, and waiting pulls are forwarded there. A target that fails is avoided for 1 s, then twice as long each time; one that can't be reached waits for a load report. Queues, kept samples and waits are gauges; long ones are logged.

Tests: hand-ons, lost ones too, are part of the seeded histories of lots; a trial stops each host with a pull in flight; a third of the engines falls silent under 300 requests (at most 1.1 attempts each, 99% answered); a silent log connection holds no change up for 8 s. The trials' quotes now differ, since the same prompt had gone to one engine and hidden the others.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -30,6 +30,7 @@
 use cassia_once::Desk;
 use cassia_once::Ran;
 use cassia_platform::Engine;
+use cassia_platform::ErrorKind;
 use cassia_platform::HttpPlatform;
 use cassia_platform::PlainService;
 use cassia_platform::PlatformError;
@@ -54,8 +55,6 @@
 pub(crate) const RETURN_AFTER_FAILURE: Duration = Duration::from_millis(500);
 /// Targets that one request is sent to at most.
 const MOST_ATTEMPTS: u32 = 3;
-/// How long a target is avoided after it failed.
-const AVOID: Duration = Duration::from_secs(1);
 /// Requests a slot that a process lets through, since its peers may have less
 /// to do than it; the engines' own queues order the surplus by priority.
 const REQUESTS_PER_SLOT: u32 = 2;
@@ -219,9 +218,12 @@
         e: &PlatformError,
         attempts: &Attempts,
     ) -> bool {
-        if e.blames_peer() {
-            let until = Instant::now() + AVOID;
-            self.board.targets.load().avoid(used.target(), until);
+        let targets = self.board.targets.load();
+        let asked_for_load = matches!(call.route.kind, RouteKind::Generate { .. });
+        if e.kind == ErrorKind::Connect && asked_for_load {
+            targets.reachable(used.target(), false);
+        } else if e.blames_peer() {
+            targets.failed(used.target(), Instant::now());
         }
         let safe = call.route.idempotent || e.ran() == Ran::NotRun;
         if !safe || attempts.begun >= MOST_ATTEMPTS || Instant::now() >= call.deadline {
@@ -232,7 +234,8 @@
     }
 
     /// Takes a success at a target in.
-    pub(crate) fn succeeded(&self, call: &Call) {
+    pub(crate) fn succeeded(&self, call: &Call, used: &Use) {
+        self.board.targets.load().succeeded(used.target());
         let key = (call.contract.customer.clone(), call.target_kind());
         lock(&self.budgets).entry(key).or_default().succeeded();
     }
--- a/crates/entry/src/generate.rs
+++ b/crates/entry/src/generate.rs
@@ -64,7 +64,10 @@
                 .choose(call, affinity, attempts.failed_at.as_ref())
                 .map_err(|e| attempts.error(e))?;
             let e = match self.attempt(call, &used, &mut request, &mut labeller).await {
-                Attempt::Whole => break,
+                Attempt::Whole => {
+                    self.succeeded(call, &used);
+                    break;
+                }
                 Attempt::Preempted => {
                     attempts.preempted();
                     continue;
@@ -76,7 +79,6 @@
                 return Err(attempts.error(target_failed(&e, call.deadline)));
             }
         }
-        self.succeeded(call);
         let spans = labeller.finish().map(|label| label.spans).unwrap_or_default();
         let request_id = call.id.clone();
         Ok(Finished::json(&Generated { request_id, text: request.so_far, spans }))
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -5,6 +5,7 @@
 mod app;
 mod flags;
 mod gates;
+mod gauges;
 mod generate;
 mod once;
 
@@ -64,6 +65,7 @@
     let app = Arc::new(App::new(Arc::clone(&node.board), Arc::clone(&node.platform)));
     node.start(Arc::clone(&app) as _, Arc::clone(&app) as _).await?;
     tokio::spawn(poll_loads(Arc::clone(&node.board), Arc::clone(&node.platform) as _));
+    tokio::spawn(gauges::run(Arc::clone(&app)));
     let server = api_server(api::api()?, app, settings.listen)?;
     node.until_drained().await?;
     node.stop(server).await;
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -213,7 +213,7 @@
             let body = call.body.clone();
             let e = match self.service.call(at, &call.id, body, call.deadline).await {
                 Ok(answer) => {
-                    self.succeeded(call);
+                    self.succeeded(call, &used);
                     return Ok(finished(&answer));
                 }
                 Err(e) => e,
--- a/crates/node/src/link_message.rs
+++ b/crates/node/src/link_message.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Message, PartialEq)]
 pub struct LinkRequest {
     /// What is asked.
-    #[prost(oneof = "Ask", tags = "1, 2, 3")]
+    #[prost(oneof = "Ask", tags = "1, 2, 3, 4")]
     pub ask: Option<Ask>,
 }
 
@@ -24,6 +24,9 @@
     /// To serve a trainer's pull.
     #[prost(message, tag = "3")]
     Pull(PullAsk),
+    /// To take a trainer's samples over.
+    #[prost(message, tag = "4")]
+    TakeOver(TakeOverAsk),
 }
 
 /// Asks for what the configuration has past an offset.
@@ -68,6 +71,23 @@
     pub body: Vec<u8>,
 }
 
+/// Asks to take a trainer's samples over before a planned stop.
+#[derive(Clone, Message, PartialEq)]
+pub struct TakeOverAsk {
+    /// The customer.
+    #[prost(string, tag = "1")]
+    pub customer: String,
+    /// The trainer.
+    #[prost(string, tag = "2")]
+    pub trainer: String,
+    /// The most tokens of one sample.
+    #[prost(uint32, tag = "3")]
+    pub max_tokens: u32,
+    /// What was kept, as JSON.
+    #[prost(bytes = "vec", tag = "4")]
+    pub kept: Vec<u8>,
+}
+
 /// A reply.
 #[derive(Clone, Message, PartialEq)]
 pub struct LinkReply {
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -17,8 +17,6 @@
 /// process's cost is the same before 26 engines and before 600.
 const EVERY: Duration = Duration::from_millis(100);
 const TIMEOUT: Duration = Duration::from_millis(500);
-/// How long an engine is avoided whose report failed.
-const AVOID: Duration = Duration::from_millis(1_500);
 /// Questions that may be open at once; one that hangs must not stop the rest.
 const OPEN_AT_ONCE: usize = 8;
 
@@ -52,7 +50,8 @@
         Ok(load) => {
             let age = Duration::from_millis(load.age_ms);
             targets.reported(&target, load.requests, load.callers, age, now);
+            targets.reachable(&target, true);
         }
-        Err(_) => targets.avoid(&target, now + AVOID),
+        Err(_) => targets.reachable(&target, false),
     }
 }
--- a/crates/rollout/src/app.rs
+++ b/crates/rollout/src/app.rs
@@ -17,12 +17,15 @@
 use cassia_node::PullAsk;
 use cassia_node::Reply;
 use cassia_node::Served;
+use cassia_node::TakeOverAsk;
 use cassia_node::ask;
 use cassia_platform::Engine;
 use cassia_platform::HttpPlatform;
 use cassia_platform::Scorer;
 use cassia_route::highest;
 use cassia_sample::Cursor;
+use cassia_sample::Kept;
+use cassia_sample::Lot;
 use cassia_sample::Pull;
 use cassia_sample::Pulled;
 use cassia_sample::Sample;
@@ -33,6 +36,7 @@
 use serde_json::Value;
 use serde_json::json;
 use smol_str::SmolStr;
+use tokio::sync::watch;
 use tokio::time::timeout_at;
 
 use crate::keepers::Job;
@@ -45,6 +49,9 @@
 const FORWARD_MARGIN: Duration = Duration::from_secs(2);
 /// When a trainer is asked back whose lot isn't whole.
 const RETURN_AFTER: Duration = Duration::from_millis(100);
+/// The longest that samples on their way may take to end at a planned stop.
+const END_LIMIT: Duration = Duration::from_secs(30);
+const HAND_ON_TIMEOUT: Duration = Duration::from_secs(5);
 const DEFAULT_MAX_TOKENS: u32 = 256;
 
 /// What the rollout program works on.
@@ -54,6 +61,26 @@
     pub(crate) engine: Arc<dyn Engine>,
     pub(crate) scorer: Option<Arc<dyn Scorer>>,
     pub(crate) keepers: SharedKeepers,
+    /// Whether samples are still kept here, before a planned stop.
+    keeping: watch::Sender<Keeping>,
+}
+
+/// Where a process is on its way to a planned stop.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Keeping {
+    /// Samples are kept here.
+    Here,
+    /// Samples on their way end; pulls wait for what follows.
+    Ending,
+    /// What was kept is at the successors, and pulls are forwarded there.
+    HandedOn,
+}
+
+/// How a pull was served here.
+enum PulledHere {
+    Served(Served),
+    /// The trainer's samples are being handed on.
+    Moved,
 }
 
 /// A trainer's request for its next lot.
@@ -86,7 +113,8 @@
 impl App {
     pub(crate) fn new(board: Arc<Board>, platform: Arc<HttpPlatform>) -> Self {
         let scorer = platform.has_scorer().then(|| Arc::clone(&platform) as _);
-        Self { board, engine: platform, scorer, keepers: Arc::default() }
+        let keeping = watch::Sender::new(Keeping::Here);
+        Self { board, engine: platform, scorer, keepers: Arc::default(), keeping }
     }
 
     /// Serves a pull here, or at the process that keeps the trainer's samples.
@@ -101,37 +129,102 @@
         body: &[u8],
     ) -> Result<Served, ApiError> {
         let pull = parse(body)?;
-        if let Some(keeper) = self.keeper_elsewhere(&contract.customer, trainer) {
-            let question = PullAsk {
-                customer: contract.customer.to_string(),
-                trainer: trainer.to_owned(),
-                body: body.to_vec(),
-            };
-            let deadline = Instant::now() + wait_of(&pull) + FORWARD_MARGIN;
-            match ask("forward pull", keeper, Ask::Pull(question), deadline).await {
-                Ok(Reply::Served(served)) => return Ok(served),
-                Ok(Reply::Config(_)) => {}
-                Err(e) => {
-                    let peer = e.peer.as_str();
-                    log::warn!(event = "keeper_unreachable", step = e.step, peer; "{e}");
-                }
+        if let Some(served) = self.forward(contract, trainer, body, &pull).await {
+            return Ok(served);
+        }
+        match self.pull_here(contract, trainer, parse(body)?).await? {
+            PulledHere::Served(served) => Ok(served),
+            PulledHere::Moved => {
+                let served = self.forward(contract, trainer, body, &pull).await;
+                served.ok_or_else(|| not_ready("this process stops"))
+            }
+        }
+    }
+
+    async fn forward(
+        &self,
+        contract: &Contract,
+        trainer: &str,
+        body: &[u8],
+        pull: &PullBody,
+    ) -> Option<Served> {
+        let keeper = self.keeper_elsewhere(&contract.customer, trainer)?;
+        let question = PullAsk {
+            customer: contract.customer.to_string(),
+            trainer: trainer.to_owned(),
+            body: body.to_vec(),
+        };
+        let deadline = Instant::now() + wait_of(pull) + FORWARD_MARGIN;
+        match ask("forward pull", keeper, Ask::Pull(question), deadline).await {
+            Ok(Reply::Served(served)) => Some(served),
+            Ok(Reply::Config(_)) => None,
+            Err(e) => {
+                let peer = e.peer.as_str();
+                log::warn!(event = "keeper_unreachable", step = e.step, peer; "{e}");
+                None
             }
         }
-        self.pull_here(contract, trainer, pull).await
+    }
+
+    /// Whether new samples are started here.
+    pub(crate) fn starts_samples(&self) -> bool {
+        *self.keeping.borrow() == Keeping::Here
+    }
+
+    /// Ends what is on its way and hands everything on, before a planned stop.
+    pub(crate) async fn hand_on(&self) {
+        self.keeping.send_replace(Keeping::Ending);
+        self.keepers.finished.notify_waiters();
+        let limit = Instant::now() + END_LIMIT;
+        while self.keepers.running() > 0 && Instant::now() < limit {
+            let _ = timeout_at(limit.into(), self.keepers.finished.notified()).await;
+        }
+        // From here on this process is no candidate for its own trainers.
+        let given_away = self.keepers.give_away();
+        self.keeping.send_replace(Keeping::HandedOn);
+        for (job, kept) in given_away {
+            self.hand_to_successor(job, kept).await;
+        }
+    }
+
+    async fn hand_to_successor(&self, job: Job, kept: Kept) {
+        let KeeperId { customer, trainer } = &job.id;
+        let Some(successor) = self.keeper_elsewhere(customer, trainer) else {
+            return;
+        };
+        let question = TakeOverAsk {
+            customer: customer.to_string(),
+            trainer: trainer.to_string(),
+            max_tokens: job.max_tokens,
+            kept: serde_json::to_vec(&kept).unwrap_or_default(),
+        };
+        let deadline = Instant::now() + HAND_ON_TIMEOUT;
+        let asked = ask("hand samples on", successor, Ask::TakeOver(question), deadline).await;
+        if let Err(e) = asked {
+            // They are generated again; the trainer's cursor knows nothing of
+            // them.
+            let peer = e.peer.as_str();
+            log::warn!(event = "samples_lost", step = e.step, peer; "{e}");
+        }
+    }
+
+    fn take_over(&self, asked: &TakeOverAsk) -> Option<()> {
+        let contract = self.board.contract(&asked.customer)?;
+        let trainer = contract.trainer(&asked.trainer)?;
+        let kept = serde_json::from_slice(&asked.kept).ok()?;
+        let job = Job::new(&contract, trainer, asked.max_tokens);
+        self.keepers.take_over(self.board.boot, &contract, job, kept);
+        Some(())
     }
 
     fn keeper_elsewhere(&self, customer: &str, trainer: &str) -> Option<std::net::SocketAddr> {
         let peers = self.board.peers.load();
         let suffix = format!("/{}", self.board.role);
         let mine = &self.board.id;
-        let all: Vec<HostId> = peers
-            .iter()
-            .filter(|p| p.id.ends_with(&suffix))
-            .map(|p| p.id.clone())
-            .chain([mine.clone()])
-            .collect();
+        let here = *self.keeping.borrow() < Keeping::HandedOn;
+        let others = peers.iter().filter(|p| p.id.ends_with(&suffix)).map(|p| p.id.clone());
+        let all: Vec<HostId> = others.chain(here.then(|| mine.clone())).collect();
         let keeper = highest(&format!("{customer}/{trainer}"), &all)?;
-        // One that stops hands its trainers on: it is not asked any more.
         peers.iter().find(|p| p.id == *keeper).map(|p| p.addr)
     }
 
@@ -140,48 +233,48 @@
         contract: &Contract,
         trainer: &str,
         body: PullBody,
-    ) -> Result<Served, ApiError> {
+    ) -> Result<PulledHere, ApiError> {
         let Some(trainer) = contract.trainer(trainer) else {
             let message = format!("the contract has no trainer {trainer:?}");
             return Err(ApiError::not_run(ApiErrorKind::NotFound, "find trainer", message));
         };
         let deadline = Instant::now() + wait_of(&body);
-        let job = Job {
-            id: KeeperId { customer: contract.customer.clone(), trainer: trainer.name.clone() },
-            model: trainer.model.clone(),
-            priority: cassia_contract::Class::Rollout.engine_priority(contract.priority),
-            share_percent: contract.share_percent,
-            idle_weight_percent: contract.idle_weight_percent,
-            max_tokens: body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
-        };
+        let max_tokens = body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+        let job = Job::new(contract, trainer, max_tokens);
         let pull = lower(body)?;
+        let mut keeping = self.keeping.subscribe();
         loop {
+            if *keeping.borrow_and_update() != Keeping::Here {
+                let moved = keeping.wait_for(|keeping| *keeping == Keeping::HandedOn);
+                let _ = timeout_at((Instant::now() + END_LIMIT).into(), moved).await;
+                return Ok(PulledHere::Moved);
+            }
             let finished = self.keepers.finished.notified();
-            match self.keepers.pull(self.board.boot, contract, job.clone(), &pull) {
-                Pulled::Lot(lot) => {
-                    let cursor = lot.cursor.to_string();
-                    let body = LotBody { samples: lot.samples, cursor };
-                    let body = serde_json::to_vec(&body).unwrap_or_default();
-                    return Ok(Served { status: 200, body });
-                }
+            let missing = match self.keepers.pull(self.board.boot, contract, job.clone(), &pull) {
+                Pulled::Lot(lot) => return Ok(PulledHere::Served(served(lot))),
                 Pulled::FewPrompts { needed } => {
                     let message = format!("a lot needs {needed} prompts");
                     let kind = ApiErrorKind::BadRequest;
                     return Err(ApiError::not_run(kind, "pull", message));
                 }
-                Pulled::Wait { missing } => {
-                    let stops = self.board.is_stopping();
-                    if stops || timeout_at(deadline.into(), finished).await.is_err() {
-                        let message = format!("{missing} samples are missing");
-                        let e = ApiError::not_run(ApiErrorKind::LotNotReady, "pull", message);
-                        return Err(e.with_return_after(RETURN_AFTER));
-                    }
-                }
+                Pulled::Wait { missing } => missing,
+            };
+            if timeout_at(deadline.into(), finished).await.is_err() {
+                return Err(not_ready(&format!("{missing} samples are missing")));
             }
         }
     }
 }
 
+fn served(lot: Lot) -> Served {
+    let body = LotBody { samples: lot.samples, cursor: lot.cursor.to_string() };
+    Served { status: 200, body: serde_json::to_vec(&body).unwrap_or_default() }
+}
+
+fn not_ready(message: &str) -> ApiError {
+    ApiError::not_run(ApiErrorKind::LotNotReady, "pull", message).with_return_after(RETURN_AFTER)
+}
+
 fn wait_of(body: &PullBody) -> Duration {
     Duration::from_millis(body.wait_ms.unwrap_or(0).min(MOST_WAIT_MS))
 }
@@ -205,17 +298,26 @@
 #[async_trait]
 impl LinkHandler for App {
     async fn answer(&self, ask: Ask) -> Option<Reply> {
-        let Ask::Pull(PullAsk { customer, trainer, body }) = ask else {
-            return None;
+        let PullAsk { customer, trainer, body } = match ask {
+            Ask::Pull(pull) => pull,
+            Ask::TakeOver(asked) => {
+                let taken = self.take_over(&asked).is_some();
+                let status = if taken { 200 } else { 404 };
+                return Some(Reply::Served(Served { status, body: Vec::new() }));
+            }
+            Ask::Config(_) | Ask::Redeem(_) => return None,
         };
-        let contract = self.board.contract(&customer);
-        let served = match contract {
+        let served = match self.board.contract(&customer) {
             Some(contract) => match parse(&body) {
                 Ok(pull) => self.pull_here(&contract, &trainer, pull).await,
                 Err(e) => Err(e),
             },
             None => Err(ApiError::not_run(ApiErrorKind::NotFound, "pull", "no contract")),
         };
+        let served = served.map(|pulled| match pulled {
+            PulledHere::Served(served) => served,
+            PulledHere::Moved => failure(&not_ready("the keeper has moved")),
+        });
         Some(Reply::Served(served.unwrap_or_else(|e| failure(&e))))
     }
 }
--- a/crates/rollout/src/keepers.rs
+++ b/crates/rollout/src/keepers.rs
@@ -10,12 +10,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_contract::Class;
 use cassia_contract::Contract;
+use cassia_contract::Trainer;
 use cassia_ids::BootId;
 use cassia_ids::CustomerId;
 use cassia_ids::ModelName;
 use cassia_ids::TrainerId;
 use cassia_sample::Keeper;
+use cassia_sample::Kept;
 use cassia_sample::LotSpec;
 use cassia_sample::Pull;
 use cassia_sample::Pulled;
@@ -45,11 +48,38 @@
     pub(crate) max_tokens: u32,
 }
 
+impl Job {
+    /// Works out from the contract what a trainer's samples need.
+    pub(crate) fn new(contract: &Contract, trainer: &Trainer, max_tokens: u32) -> Self {
+        Self {
+            id: KeeperId { customer: contract.customer.clone(), trainer: trainer.name.clone() },
+            model: trainer.model.clone(),
+            priority: Class::Rollout.engine_priority(contract.priority),
+            share_percent: contract.share_percent,
+            idle_weight_percent: contract.idle_weight_percent,
+            max_tokens,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     keeper: Keeper,
     job: Job,
     forget_at: Instant,
+    /// Since when the trainer has waited for a lot.
+    waits_since: Option<Instant>,
+}
+
+impl Entry {
+    fn pull(&mut self, pull: &Pull) -> Pulled {
+        let pulled = self.keeper.pull(pull);
+        self.waits_since = match pulled {
+            Pulled::Wait { .. } => self.waits_since.or_else(|| Some(Instant::now())),
+            Pulled::Lot(_) | Pulled::FewPrompts { .. } => None,
+        };
+        pulled
+    }
 }
 
 /// All keepers of this process.
@@ -66,10 +96,12 @@
 /// What a dump shows of a keeper.
 #[derive(Debug, serde::Serialize)]
 pub(crate) struct KeeperState {
-    customer: CustomerId,
-    trainer: TrainerId,
-    done: u64,
-    running: usize,
+    pub(crate) customer: CustomerId,
+    pub(crate) trainer: TrainerId,
+    pub(crate) done: u64,
+    pub(crate) running: usize,
+    /// How long the trainer has waited for a lot.
+    pub(crate) waits_ms: u64,
     groups_ahead: usize,
     counts: cassia_sample::Counts,
 }
@@ -78,6 +110,38 @@
     /// Answers a pull from what is kept.
     pub(crate) fn pull(&self, boot: BootId, contract: &Contract, job: Job, pull: &Pull) -> Pulled {
         let mut entries = self.lock();
+        let pulled = self.entry(&mut entries, boot, contract, job).pull(pull);
+        drop(entries);
+        self.wanted.notify_one();
+        pulled
+    }
+
+    /// Takes over what another process kept for a trainer.
+    pub(crate) fn take_over(&self, boot: BootId, contract: &Contract, job: Job, kept: Kept) {
+        let mut entries = self.lock();
+        self.entry(&mut entries, boot, contract, job).keeper.take_over(kept);
+        drop(entries);
+        self.finished.notify_waiters();
+    }
+
+    /// Gives everything away; nothing of it is handed out here any more.
+    pub(crate) fn give_away(&self) -> Vec<(Job, Kept)> {
+        let entries = std::mem::take(&mut *self.lock());
+        entries.into_values().map(|mut e| (e.job, e.keeper.give_away())).collect()
+    }
+
+    /// Counts the samples on their way.
+    pub(crate) fn running(&self) -> usize {
+        self.lock().values().map(|e| e.keeper.running_samples()).sum()
+    }
+
+    fn entry<'a>(
+        &self,
+        entries: &'a mut BTreeMap<KeeperId, Entry>,
+        boot: BootId,
+        contract: &Contract,
+        job: Job,
+    ) -> &'a mut Entry {
         let now = Instant::now();
         entries.retain(|_, entry| now < entry.forget_at);
         let spec = lot_spec(contract);
@@ -86,14 +150,12 @@
             keeper: Keeper::new(boot, self.next_number.fetch_add(1, Ordering::Relaxed), spec),
             job: job.clone(),
             forget_at,
+            waits_since: None,
         });
         entry.keeper.respec(spec);
         entry.job = job;
         entry.forget_at = forget_at;
-        let pulled = entry.keeper.pull(pull);
-        drop(entries);
-        self.wanted.notify_one();
-        pulled
+        entry
     }
 
     /// Lists what is to be generated, with the samples running already.
@@ -130,6 +192,9 @@
                 trainer: id.trainer.clone(),
                 done: e.keeper.done_samples(),
                 running: e.keeper.running_samples(),
+                waits_ms: e.waits_since.map_or(0, |since| {
+                    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+                }),
                 groups_ahead: e.keeper.groups_ahead(),
                 counts: e.keeper.counts(),
             })
--- a/crates/rollout/src/main.rs
+++ b/crates/rollout/src/main.rs
@@ -3,6 +3,7 @@
 mod api;
 mod app;
 mod flags;
+mod gauges;
 mod keepers;
 mod pump;
 
@@ -63,8 +64,11 @@
     node.start(Arc::clone(&app) as _, Arc::clone(&app) as _).await?;
     tokio::spawn(poll_loads(Arc::clone(&node.board), Arc::clone(&node.platform) as _));
     tokio::spawn(pump::run(Arc::clone(&app)));
+    tokio::spawn(gauges::run(Arc::clone(&app)));
+    let handing = Arc::clone(&app);
     let server = api_server(api::api()?, app, settings.listen)?;
     node.until_drained().await?;
+    handing.hand_on().await;
     node.stop(server).await;
     Ok(())
 }
--- a/crates/rollout/src/pump.rs
+++ b/crates/rollout/src/pump.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_platform::ErrorKind;
 use cassia_platform::Generate;
 use cassia_platform::Piece;
 use cassia_platform::PlatformError;
@@ -31,8 +32,6 @@
 const MOST_ATTEMPTS: u32 = 8;
 /// Pause before the next attempt.
 const PAUSE: Duration = Duration::from_millis(50);
-/// How long an engine is avoided after it failed.
-const AVOID: Duration = Duration::from_secs(1);
 const SCORE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// How an attempt at one engine ended.
@@ -47,7 +46,7 @@
 pub(crate) async fn run(app: Arc<App>) {
     loop {
         let _ = timeout(EVERY, app.keepers.wanted.notified()).await;
-        if app.board.is_stopping() {
+        if !app.starts_samples() {
             continue;
         }
         for (job, running) in app.keepers.jobs() {
@@ -103,6 +102,7 @@
         };
         match attempt(app, job, start, &used, &mut request, &mut labeller, deadline).await {
             Attempt::Whole => {
+                app.board.targets.load().succeeded(used.target());
                 let label = labeller.finish().ok()?;
                 return Some(score(app, start, request.so_far, label).await);
             }
@@ -110,8 +110,12 @@
             Attempt::NotWanted => return None,
             Attempt::Failed(e) => {
                 failures += 1;
-                let until = Instant::now() + AVOID;
-                app.board.targets.load().avoid(used.target(), until);
+                let targets = app.board.targets.load();
+                if e.kind == ErrorKind::Connect {
+                    targets.reachable(used.target(), false);
+                } else {
+                    targets.failed(used.target(), Instant::now());
+                }
                 let (peer, id) = (e.peer.as_str(), start.id.as_str());
                 log::info!(event = "sample_moved", step = e.step, peer, request_id = id; "{e}");
             }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -17,6 +17,9 @@
 
 /// After this time a load report counts half, after twice the time a quarter.
 const REPORT_HALF_LIFE_MS: u64 = 500;
+/// How long a target is avoided after a failure; twice as long after each more.
+const FIRST_AVOIDED: Duration = Duration::from_secs(1);
+const MOST_DOUBLINGS: u32 = 5;
 /// A score counts requests a slot in units of one over this.
 const SCORE_UNIT: u64 = 1_024;
 /// How much worse than the better of two random targets the one with the
@@ -92,6 +95,10 @@
     reported_ms: AtomicU64,
     /// When it was last asked for its load, on the same clock.
     asked_ms: AtomicU64,
+    /// Whether the last attempt to reach it failed; a load report clears it.
+    unreachable: AtomicBool,
+    /// Requests that failed there since the last one that succeeded.
+    failures: AtomicU32,
     /// Until when it is avoided after a failure.
     avoided_until_ms: AtomicU64,
 }
@@ -127,6 +134,8 @@
             other_callers: AtomicU32::new(0),
             reported_ms: AtomicU64::new(0),
             asked_ms: AtomicU64::new(0),
+            unreachable: AtomicBool::new(false),
+            failures: AtomicU32::new(0),
             avoided_until_ms: AtomicU64::new(0),
         }
     }
@@ -193,7 +202,8 @@
     }
 
     fn is_avoided(&self, now_ms: u64) -> bool {
-        now_ms < self.avoided_until_ms.load(Ordering::Relaxed)
+        self.unreachable.load(Ordering::Relaxed)
+            || now_ms < self.avoided_until_ms.load(Ordering::Relaxed)
     }
 }
 
@@ -274,11 +284,28 @@
         target.asked_ms.store(self.millis(now).max(1), Ordering::Relaxed);
     }
 
-    /// Avoids a target until a moment, after it failed.
-    pub fn avoid(&self, target: &Target, until: Instant) {
+    /// Takes in that a target can or can't be reached at all.
+    ///
+    /// Only for targets that are asked for their load: that is what finds out
+    /// that one is back, not callers' requests.
+    pub fn reachable(&self, target: &Target, reachable: bool) {
+        target.unreachable.store(!reachable, Ordering::Relaxed);
+    }
+
+    /// Takes in that a request failed at a target, which is avoided for a
+    /// while, and longer the more of them fail.
+    pub fn failed(&self, target: &Target, now: Instant) {
+        let before = target.failures.fetch_add(1, Ordering::Relaxed);
+        let until = now + FIRST_AVOIDED * (1 << before.min(MOST_DOUBLINGS));
         target.avoided_until_ms.fetch_max(self.millis(until), Ordering::Relaxed);
     }
 
+    /// Takes in that a request succeeded at a target.
+    pub fn succeeded(&self, target: &Target) {
+        target.failures.store(0, Ordering::Relaxed);
+        target.avoided_until_ms.store(0, Ordering::Relaxed);
+    }
+
     /// Chooses a target.
     #[must_use]
     pub fn choose(&self, wanted: &Wanted<'_>, rng: &mut impl Rng, now: Instant) -> Choice {
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -61,8 +61,8 @@
     pub running_by_customer: BTreeMap<CustomerId, u32>,
     /// Per customer: requests that wait.
     pub waiting_by_customer: BTreeMap<CustomerId, usize>,
-    /// Age of the oldest that waits, in milliseconds.
-    pub oldest_waiting_ms: u128,
+    /// Per customer: age of the oldest that waits, in milliseconds.
+    pub oldest_waiting_ms: BTreeMap<CustomerId, u64>,
     /// Running average of the service time, in microseconds.
     pub service_us: u128,
 }
@@ -182,25 +182,25 @@
     /// Shows the gate for a dump.
     #[must_use]
     pub fn state(&self, now: Instant) -> GateState {
-        let waiting = self.customers.values().flat_map(|c| c.waiting.values());
-        let oldest = waiting.map(|w| w.since).min().unwrap_or(now);
-        let by = |f: &dyn Fn(&Customer) -> u32| {
-            self.customers.iter().map(|(id, c)| (id.clone(), f(c))).collect()
+        let age = |c: &Customer| {
+            let oldest = c.waiting.values().map(|w| w.since).min().unwrap_or(now);
+            let age = now.saturating_duration_since(oldest).as_millis();
+            u64::try_from(age).unwrap_or(u64::MAX)
         };
         GateState {
             capacity: self.capacity,
             running: self.running,
-            running_by_customer: by(&|c| c.running),
-            waiting_by_customer: self
-                .customers
-                .iter()
-                .map(|(id, c)| (id.clone(), c.waiting.len()))
-                .collect(),
-            oldest_waiting_ms: now.saturating_duration_since(oldest).as_millis(),
+            running_by_customer: self.by_customer(|c| c.running),
+            waiting_by_customer: self.by_customer(|c| c.waiting.len()),
+            oldest_waiting_ms: self.by_customer(age),
             service_us: self.service.0.as_micros(),
         }
     }
 
+    fn by_customer<T>(&self, of: impl Fn(&Customer) -> T) -> BTreeMap<CustomerId, T> {
+        self.customers.iter().map(|(id, c)| (id.clone(), of(c))).collect()
+    }
+
     fn run(&mut self, customer: &CustomerId) {
         self.running += 1;
         self.customers.entry(customer.clone()).or_default().running += 1;
--- a/crates/route/tests/gate.rs
+++ b/crates/route/tests/gate.rs
@@ -118,7 +118,7 @@
     assert_eq!(refused, 2_000 - 1_024);
     let state = f.gate.state(f.now + Duration::from_secs(3));
     assert_eq!(state.waiting_by_customer["a"], 1_024);
-    assert_eq!(state.oldest_waiting_ms, 3_000);
+    assert_eq!(state.oldest_waiting_ms["a"], 3_000);
 }
 
 #[test]
--- a/crates/route/tests/view.rs
+++ b/crates/route/tests/view.rs
@@ -222,15 +222,42 @@
     let now = Instant::now();
     let set = many(2);
     let bad = Arc::clone(&set.of_kind(&kind())[0]);
-    set.avoid(&bad, now + Duration::from_secs(1));
+    set.failed(&bad, now);
     for _ in 0..100 {
         assert_eq!(chosen(&set, Policy::TwoChoices, None, now).listed.id, "e1");
     }
     let alone = many(1);
-    alone.avoid(&alone.of_kind(&kind())[0], now + Duration::from_secs(1));
+    alone.failed(&alone.of_kind(&kind())[0], now);
+    alone.reachable(&alone.of_kind(&kind())[0], false);
     assert_eq!(chosen(&alone, Policy::TwoChoices, Some("e0"), now).listed.id, "e0");
 }
 
+#[test]
+fn the_more_requests_fail_the_longer_a_target_is_avoided() {
+    let now = Instant::now();
+    let set = many(2);
+    let bad = Arc::clone(&set.of_kind(&kind())[0]);
+    let is_tried = |after_ms| {
+        let then = now + Duration::from_millis(after_ms);
+        (0..100).any(|_| chosen(&set, Policy::TwoChoices, None, then).listed.id == "e0")
+    };
+    set.failed(&bad, now);
+    assert!(!is_tried(900) && is_tried(1_100));
+    set.failed(&bad, now);
+    assert!(!is_tried(1_900) && is_tried(2_100));
+    for _ in 0..20 {
+        set.failed(&bad, now);
+    }
+    assert!(!is_tried(31_000) && is_tried(33_000));
+    set.succeeded(&bad);
+    assert!(is_tried(0));
+    // One that can't be reached waits for a load report, however long.
+    set.reachable(&bad, false);
+    assert!(!is_tried(100_000));
+    set.reachable(&bad, true);
+    assert!(is_tried(0));
+}
+
 #[test]
 fn a_prefix_goes_to_its_engine_until_that_one_is_much_busier() {
     let now = Instant::now();
--- a/crates/sample/src/keeper.rs
+++ b/crates/sample/src/keeper.rs
@@ -64,6 +64,30 @@
     pub prompts: Vec<SmolStr>,
 }
 
+/// What one process hands on to another before a planned stop.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Kept {
+    /// Finished samples that are part of no lot yet.
+    groups: Vec<KeptGroup>,
+    /// The lot that was handed out last, if its receipt isn't confirmed.
+    handed: Option<KeptLot>,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct KeptGroup {
+    prompt: u64,
+    text: SmolStr,
+    samples: Vec<Sample>,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct KeptLot {
+    from: String,
+    texts: Vec<SmolStr>,
+    samples: Vec<Sample>,
+    cursor: String,
+}
+
 /// What a pull leads to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Pulled {
@@ -259,6 +283,49 @@
         self.groups.get(&prompt).is_some_and(|group| group.slots.iter().any(|s| s.runs(id)))
     }
 
+    /// Gives away all that is finished. Nothing of it is handed out here any
+    /// more, whether or not it arrives.
+    pub fn give_away(&mut self) -> Kept {
+        let groups = std::mem::take(&mut self.groups);
+        let kept = |(prompt, group): (u64, Group)| KeptGroup {
+            prompt,
+            text: group.text,
+            samples: group.slots.into_iter().filter_map(Slot::done).collect(),
+        };
+        let handed = self.handed.take().map(|handed| KeptLot {
+            from: handed.from.to_string(),
+            texts: handed.texts,
+            samples: handed.lot.samples,
+            cursor: handed.lot.cursor.to_string(),
+        });
+        Kept { groups: groups.into_iter().map(kept).collect(), handed }
+    }
+
+    /// Takes over what another process gave away, as far as it is of use.
+    pub fn take_over(&mut self, kept: Kept) {
+        if let Some(lot) = kept.handed
+            && self.handed.is_none()
+            && let (Ok(from), Ok(cursor)) = (lot.from.parse(), lot.cursor.parse())
+            && (self.cursor == Cursor::default() || self.cursor == from)
+        {
+            // The trainer may have this lot or not; its next pull tells.
+            self.cursor = from;
+            let lot_texts = lot.texts;
+            let lot = Lot { samples: lot.samples, cursor };
+            self.handed = Some(Handed { from, texts: lot_texts, lot });
+        }
+        let first = self.first_open_prompt();
+        for kept in kept.groups.into_iter().filter(|kept| kept.prompt >= first) {
+            let group = self.groups.entry(kept.prompt).or_default();
+            if group.slots.is_empty() {
+                group.text = kept.text;
+            } else if group.text != kept.text {
+                continue;
+            }
+            group.take_over(kept.samples, self.spec.group_size);
+        }
+    }
+
     /// How many groups past the next lot are generated ahead.
     ///
     /// A sample made a lot ahead is about a version older when it is handed
@@ -370,6 +437,20 @@
 }
 
 impl Group {
+    /// Finished samples take free places first, then those of samples that are
+    /// on their way here, whose ends then find nobody waiting.
+    fn take_over(&mut self, samples: Vec<Sample>, group_size: usize) {
+        for sample in samples {
+            if self.slots.len() < group_size {
+                self.slots.push(Slot::Done(sample));
+            } else if let Some(slot) =
+                self.slots.iter_mut().find(|slot| matches!(slot, Slot::Running(_)))
+            {
+                *slot = Slot::Done(sample);
+            }
+        }
+    }
+
     fn done(&self) -> u64 {
         self.slots.iter().filter(|s| matches!(s, Slot::Done(_))).count() as u64
     }
--- a/crates/sample/src/lib.rs
+++ b/crates/sample/src/lib.rs
@@ -22,6 +22,7 @@
 pub use crate::cursor::Cursor;
 pub use crate::keeper::Counts;
 pub use crate::keeper::Keeper;
+pub use crate::keeper::Kept;
 pub use crate::keeper::Lot;
 pub use crate::keeper::LotSpec;
 pub use crate::keeper::Pull;
--- a/crates/sample/tests/lots.rs
+++ b/crates/sample/tests/lots.rs
@@ -37,6 +37,8 @@
     Checkpoint,
     /// The trainer restarts from its checkpoint.
     Crash,
+    /// A keeper hands on what it kept, which arrives or is lost.
+    HandOn { keeper: usize, lost: bool },
     /// A keeper dies with all that it kept.
     Replace { keeper: usize },
 }
@@ -51,6 +53,8 @@
         3 => Just(Step::Train),
         2 => Just(Step::Checkpoint),
         1 => Just(Step::Crash),
+        2 => (0..KEEPERS, proptest::bool::weighted(0.3))
+            .prop_map(|(keeper, lost)| Step::HandOn { keeper, lost }),
         1 => (0..KEEPERS).prop_map(|keeper| Step::Replace { keeper }),
     ]
 }
@@ -125,6 +129,14 @@
             Step::Train => self.version += 1,
             Step::Checkpoint => self.checkpoint = self.now.clone(),
             Step::Crash => self.now = self.checkpoint.clone(),
+            Step::HandOn { keeper, lost } => {
+                let kept = self.keepers[keeper].give_away();
+                let text = serde_json::to_string(&kept).expect("it can be written");
+                if !lost {
+                    let kept = serde_json::from_str(&text).expect("it can be read");
+                    self.keepers[1 - keeper].take_over(kept);
+                }
+            }
             Step::Replace { keeper } => {
                 self.keepers[keeper] = Keeper::new(self.boots, 0, SPEC);
                 self.boots += 1;
@@ -314,6 +326,23 @@
     assert!(starts.iter().all(|start| start.text.starts_with("other")), "{starts:?}");
 }
 
+#[test]
+fn what_is_handed_on_is_not_generated_again() {
+    let mut world = ready_keeper();
+    let lost = lot_at(&mut world, 0);
+    let kept = world.keepers[0].done_samples();
+    assert!(kept > 0);
+    world.step(Step::HandOn { keeper: 0, lost: false });
+    assert_eq!(world.keepers[0].done_samples(), 0);
+    // The answer with the lot was lost; the successor has the lot, and the
+    // samples that were generated ahead.
+    assert_eq!(lot_at(&mut world, 1), lost);
+    assert_eq!(world.keepers[1].done_samples(), kept);
+    world.take(&lost);
+    let next = lot_at(&mut world, 1);
+    assert_eq!(next.samples[0].prompt, SPEC.groups as u64);
+}
+
 #[test]
 fn two_trainers_of_a_customer_get_different_samples() {
     let mut one = Keeper::new(7, 0, SPEC);
--- a/crates/trials/tests/callers.rs
+++ b/crates/trials/tests/callers.rs
@@ -1,5 +1,7 @@
 //! Every caller gets the whole answer to its own request, or an error.
 
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,6 +27,7 @@
     trial: Trial,
     entry: Process,
     caller: Caller,
+    quotes: AtomicU32,
 }
 
 impl Setup {
@@ -35,7 +38,8 @@
             let revision = trial.publish(&contract, 0).await?;
             trial.in_force(&entry, &contract.customer, revision).await?;
         }
-        let setup = Self { trial, entry, caller: Caller::new(SAVANNA_KEY) };
+        let caller = Caller::new(SAVANNA_KEY);
+        let setup = Self { trial, entry, caller, quotes: AtomicU32::new(0) };
         if engines > 0 {
             setup.trial.sees(&setup.entry, engines, 0).await?;
         }
@@ -46,8 +50,11 @@
         Ok(self.trial.start_engine(id, self.trial.engine_spec("renewals")).await?)
     }
 
+    /// Asks for a quote, each time with another prompt: those that share one
+    /// would go to one engine.
     async fn quote(&self, tokens: u32) -> Reply {
-        let body = json!({"prompt": "a pass", "max_tokens": tokens});
+        let n = self.quotes.fetch_add(1, Ordering::Relaxed);
+        let body = json!({"prompt": format!("pass {n}"), "max_tokens": tokens});
         self.caller.post(self.entry.listen, PATH, &[], &body).await
     }
 }
@@ -229,3 +236,49 @@
     assert!(ended.success(), "{ended:?}");
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn when_a_third_of_the_engines_is_cut_off_retries_stay_within_a_tenth() -> anyhow::Result<()>
+{
+    let setup = Setup::new(0).await?;
+    let (mut engines, mut ways) = (Vec::new(), Vec::new());
+    for i in 0..6 {
+        let engine = EngineStandin::start(setup.trial.engine_spec("renewals")).await?;
+        let way = Proxy::start(engine.addr()).await?;
+        let what = TargetKind::Engine { model: "renewals".into() };
+        setup.trial.put_target(&format!("renewals-{i}"), way.addr(), what);
+        engines.push(engine);
+        ways.push(way);
+    }
+    setup.trial.sees(&setup.entry, 6, 0).await?;
+    for _ in 0..30 {
+        assert_eq!(setup.quote(4).await.status, 200);
+    }
+    let attempts = async || {
+        let state = setup.caller.get(setup.entry.ops, "/state").await.body;
+        state["program"]["attempts"].as_u64().unwrap_or(0)
+    };
+    let before = attempts().await;
+    // Two of six fall silent, with all of their connections.
+    for way in &ways[..2] {
+        way.set_cut(true);
+    }
+    let (mut answered, requests) = (0, 300_u64);
+    for _ in 0..requests {
+        answered += u64::from(setup.quote(4).await.status == 200);
+    }
+    let attempts = attempts().await - before;
+    assert!(attempts * 10 <= requests * 11, "{attempts} attempts for {requests} requests");
+    assert!(answered * 100 >= requests * 99, "{answered} of {requests} answered");
+    // Once the cut ends they are of use again.
+    let served: Vec<_> = engines.iter().map(EngineStandin::served).collect();
+    for way in &ways {
+        way.set_cut(false);
+    }
+    let back = eventually(|| async {
+        setup.quote(4).await;
+        engines.iter().zip(&served).all(|(engine, &before)| engine.served() > before)
+    });
+    assert!(back.await);
+    Ok(())
+}
--- a/crates/trials/tests/config.rs
+++ b/crates/trials/tests/config.rs
@@ -220,3 +220,19 @@
     }
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_connection_that_goes_silent_holds_no_change_up() -> anyhow::Result<()> {
+    let trial = Trial::start().await?;
+    let way = Proxy::start(trial.log.addr()).await?;
+    let log = format!("--log={}", way.addr());
+    let alone = trial.start_process("cassia-entry", "h1", "dc1", &[&log]).await?;
+    let first = trial.publish(&savanna(), 0).await?;
+    trial.in_force(&alone, "savanna", first).await?;
+    way.silence();
+    let began = Instant::now();
+    let second = trial.publish(&Contract { priority: 3, ..savanna() }, first).await?;
+    trial.in_force(&alone, "savanna", second).await?;
+    assert!(began.elapsed() < IN_FORCE_WITHIN, "{:?}", began.elapsed());
+    Ok(())
+}
--- a/crates/trials/tests/lots.rs
+++ b/crates/trials/tests/lots.rs
@@ -191,6 +191,29 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_hands_a_pull_in_flight_and_all_samples_on() -> anyhow::Result<()> {
+    let mut setup = Setup::new(2).await?;
+    let mut trainer = setup.trainer();
+    trainer.step(PATIENCE).await.expect("a lot");
+    for stopping in [0, 1, 0] {
+        // A pull waits at either host while one of them stops.
+        let pull = trainer.pull();
+        setup.hosts[stopping].ask_to_stop();
+        let lot = pull.await.expect("the pull in flight is answered with a lot");
+        let step = trainer.train_on(&lot);
+        check(&step.samples, trainer.version);
+        let ended = setup.hosts[stopping].ended(PATIENCE).await.expect("an end");
+        assert!(ended.success(), "{ended:?}");
+        let host = &mut setup.hosts[stopping];
+        host.restart()?;
+        setup.trial.sees(&setup.hosts[stopping], 2, 1).await?;
+        setup.trial.sees(&setup.hosts[1 - stopping], 2, 1).await?;
+    }
+    each_once(&trainer, 4);
+    Ok(())
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_that_break_are_resumed_with_their_labels() -> anyhow::Result<()> {
     let setup = Setup::new(1).await?;
