Leave engines alone that are much slower than their peers

Cause: an engine that is slow rather than dead held up a tenth of the callers and whole lots: with one of ten at a fifth of the speed, callers' p99 was five times that without trainers.

Ruled out: weighing the pace into the choice between two.

Change: a target whose time for a token is over twice the median of its kind is slow: it gets one request each 20 s, and its slots don't count as room for samples, until it is within half as much again. The time is taken from the first piece on, so that waiting for a slot doesn't count.

--- a/crates/entry/src/generate.rs
+++ b/crates/entry/src/generate.rs
@@ -3,12 +3,14 @@
 use std::hash::BuildHasher;
 use std::hash::BuildHasherDefault;
 use std::hash::DefaultHasher;
+use std::time::Instant;
 
 use cassia_node::ApiError;
 use cassia_node::ApiErrorKind;
 use cassia_platform::Generate;
 use cassia_platform::Piece;
 use cassia_platform::PlatformError;
+use cassia_route::Pace;
 use cassia_route::Use;
 use cassia_sample::Labeller;
 use serde::Deserialize;
@@ -93,6 +95,7 @@
         labeller: &mut Labeller,
     ) -> Attempt {
         let at = used.target().listed.addr;
+        let mut pace = Pace::default();
         let mut pieces = match self.engine.generate(at, request, call.deadline).await {
             Ok(pieces) => pieces,
             Err(e) => return Attempt::Failed(e),
@@ -100,13 +103,19 @@
         loop {
             match pieces.next(call.deadline).await {
                 Ok(Piece::Tokens { text, count, version }) => {
+                    pace.piece(count, Instant::now());
                     labeller.tokens(count, version);
                     request.so_far.push_str(&text);
                     request.tokens_so_far += count;
                 }
                 Ok(Piece::Cached { version }) => labeller.cached(version),
                 Ok(Piece::Preempted) => return Attempt::Preempted,
-                Ok(Piece::Done) => return Attempt::Whole,
+                Ok(Piece::Done) => {
+                    let now = Instant::now();
+                    let (tokens, took) = pace.measured(now);
+                    self.board.targets.load().paced(used.target(), tokens, took, now);
+                    return Attempt::Whole;
+                }
                 Err(e) => return Attempt::Failed(e),
             }
         }
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -8,7 +8,7 @@
 /// Names a job.
 pub(crate) type JobId = usize;
 
-/// Time for one token, which the batch's size doesn't change.
+/// Time for one token of a sound engine, which the batch's size doesn't change.
 pub(crate) const TOKEN: Micros = 10_000;
 
 /// A job in a slot.
@@ -36,6 +36,8 @@
     slots: usize,
     /// Whether it honours priorities; otherwise first in, first out.
     priorities: bool,
+    /// Time for one token.
+    pub(crate) token: Micros,
     pub(crate) version: u64,
     pub(crate) running: Vec<Running>,
     queue: BTreeMap<(Reverse<u32>, u64), (JobId, u32)>,
@@ -43,10 +45,11 @@
 }
 
 impl Engine {
-    pub(crate) fn new(slots: usize, priorities: bool) -> Self {
+    pub(crate) fn new(slots: usize, priorities: bool, token: Micros) -> Self {
         Self {
             slots,
             priorities,
+            token,
             version: 1,
             running: Vec::new(),
             queue: BTreeMap::new(),
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -49,6 +49,8 @@
 use crate::report::Table;
 
 const ENGINES: usize = 10;
+/// How much longer a slow engine takes for a token.
+const SLOW: Micros = 5;
 const SLOTS: usize = 8;
 const GROUPS: usize = 64;
 const GROUP_SIZE: usize = 8;
@@ -68,15 +70,28 @@
     choice: Policy,
     /// Whether callers go before samples, at the engines and in the choice.
     callers_first: bool,
+    /// Whether the choice takes in how fast engines have been.
+    paced: bool,
     /// Whether lots are generated ahead as the contract weighs it.
     ahead: bool,
 }
 
-const CHOSEN: Policies =
-    Policies { name: "chosen", choice: Policy::TwoChoices, callers_first: true, ahead: true };
-const PLAIN: Policies =
-    Policies { name: "plain", choice: Policy::Random, callers_first: false, ahead: false };
+const CHOSEN: Policies = Policies {
+    name: "chosen",
+    choice: Policy::TwoChoices,
+    callers_first: true,
+    paced: true,
+    ahead: true,
+};
+const PLAIN: Policies = Policies {
+    name: "plain",
+    choice: Policy::Random,
+    callers_first: false,
+    paced: false,
+    ahead: false,
+};
 const HERD: Policies = Policies { name: "least reported", choice: Policy::LeastReported, ..CHOSEN };
+const NO_PACE: Policies = Policies { name: "chosen, no pace", paced: false, ..CHOSEN };
 const NO_AHEAD: Policies = Policies { name: "chosen, none ahead", ahead: false, ..CHOSEN };
 
 /// Runs all and gives the table.
@@ -106,6 +121,11 @@
             let outcome = World::new(load, policies, true, seed).run(seconds * SECOND);
             table.row(outcome.cells(load, policies, true, base));
         }
+        let slow = Load { name: load.slow_name, slow_engines: 1, ..load };
+        for policies in [CHOSEN, NO_PACE, PLAIN] {
+            let outcome = World::new(slow, policies, true, seed).run(seconds * SECOND);
+            table.row(outcome.cells(slow, policies, true, base));
+        }
     }
     table
 }
@@ -145,6 +165,7 @@
     start: Option<Start>,
     tokens: u64,
     labeller: Labeller,
+    began: Micros,
     began_version: u64,
 }
 
@@ -215,7 +236,13 @@
             now: 0,
             events: BinaryHeap::new(),
             next_event: 0,
-            engines: (0..ENGINES).map(|_| Engine::new(SLOTS, policies.callers_first)).collect(),
+            engines: (0..ENGINES)
+                .map(|i| {
+                    let slow = i < load.slow_engines;
+                    let token = if slow { TOKEN * SLOW } else { TOKEN };
+                    Engine::new(SLOTS, policies.callers_first, token)
+                })
+                .collect(),
             targets: TargetSet::empty(start).updated(&listed),
             kind,
             gate: Gate::new(slots * u32::try_from(ENGINES).unwrap_or(0) * 2),
@@ -319,6 +346,7 @@
             start,
             tokens,
             labeller: Labeller::default(),
+            began: 0,
             began_version: 0,
         });
         self.jobs.len() - 1
@@ -353,11 +381,13 @@
     }
 
     fn begin(&mut self, job: JobId) {
-        let version = self.engines[self.jobs[job].engine].version;
+        let engine = &self.engines[self.jobs[job].engine];
+        let (version, token) = (engine.version, engine.token);
         let entry = &mut self.jobs[job];
         entry.run += 1;
+        entry.began = self.now;
         entry.began_version = version;
-        let (at, run) = (self.now + entry.tokens_left * TOKEN, entry.run);
+        let (at, run) = (self.now + entry.tokens_left * token, entry.run);
         self.at(at, Event::Done { job, run });
     }
 
@@ -376,7 +406,8 @@
 
     fn preempted(&mut self, job: JobId, since: Micros) {
         self.outcome.preempted += 1;
-        let made = ((self.now - since) / TOKEN).min(self.jobs[job].tokens_left);
+        let token = self.engines[self.jobs[job].engine].token;
+        let made = ((self.now - since) / token).min(self.jobs[job].tokens_left);
         self.label(job, made);
         let entry = &mut self.jobs[job];
         entry.tokens_left = (entry.tokens_left - made).max(1);
@@ -392,6 +423,7 @@
         }
         let left = self.jobs[job].tokens_left;
         self.label(job, left);
+        self.note_pace(job, left);
         self.jobs[job].used = None;
         if self.jobs[job].caller {
             self.answered(job);
@@ -400,6 +432,14 @@
         }
     }
 
+    fn note_pace(&mut self, job: JobId, tokens: u64) {
+        let took = Duration::from_micros(self.now - self.jobs[job].began);
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+        if let Some(used) = self.jobs[job].used.as_ref().filter(|_| self.policies.paced) {
+            self.targets.paced(used.target(), tokens, took, self.instant());
+        }
+    }
+
     fn answered(&mut self, job: JobId) {
         let took = self.now - self.jobs[job].came;
         self.outcome.callers.saturating_record(took / 1_000);
@@ -479,7 +519,8 @@
 
     fn pump(&mut self) {
         let callers = self.targets.all().map(|t| t.callers()).sum();
-        let slots = u32::try_from(ENGINES * SLOTS).unwrap_or(0);
+        let sound = self.targets.all().filter(|t| !t.is_slow());
+        let slots = sound.map(|t| t.listed.slots).sum();
         let running = self.keeper.running_samples();
         let own = u32::try_from(running).unwrap_or(u32::MAX);
         let seen = Occupancy { slots, callers, samples: own, own };
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -13,6 +13,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Load {
     pub(crate) name: &'static str,
+    /// Its name with slow engines.
+    pub(crate) slow_name: &'static str,
+    /// Engines that are slow rather than dead.
+    pub(crate) slow_engines: usize,
     /// Callers' requests a second, outside the rush and in it.
     pub(crate) calm_rate: f64,
     pub(crate) rush_rate: f64,
@@ -30,6 +34,8 @@
 /// Evening picture uploads; staleness weighs more.
 pub(crate) const LESERBILD: Load = Load {
     name: "leserbild",
+    slow_name: "leserbild, one slow",
+    slow_engines: 0,
     calm_rate: 30.0,
     rush_rate: 80.0,
     caller_tokens: 40,
@@ -43,6 +49,7 @@
 /// Gate rush hours, with trainers all night; idle time weighs more.
 pub(crate) const SAVANNA: Load = Load {
     name: "savanna",
+    slow_name: "savanna, one slow",
     calm_rate: 40.0,
     rush_rate: 120.0,
     caller_tokens: 30,
--- a/crates/rollout/src/pump.rs
+++ b/crates/rollout/src/pump.rs
@@ -10,6 +10,7 @@
 use cassia_platform::PlatformError;
 use cassia_route::Choice;
 use cassia_route::Occupancy;
+use cassia_route::Pace;
 use cassia_route::TargetKind;
 use cassia_route::Use;
 use cassia_route::Wanted;
@@ -64,8 +65,10 @@
     let targets = app.board.targets.load();
     let engines = targets.of_kind(&kind).iter();
     let callers = engines.clone().map(|t| t.callers()).sum();
+    let slow: u32 = engines.clone().filter(|t| t.is_slow()).map(|t| t.listed.slots).sum();
     let samples = engines.map(|t| t.load().saturating_sub(t.callers())).sum();
     let own = u32::try_from(running).unwrap_or(u32::MAX);
+    let slots = slots.saturating_sub(slow);
     let seen = Occupancy { slots, callers, samples, own };
     let room = room(seen, job.share_percent, job.idle_weight_percent);
     usize::try_from(room).unwrap_or(usize::MAX).saturating_sub(running)
@@ -142,6 +145,7 @@
     deadline: Instant,
 ) -> Attempt {
     let at = used.target().listed.addr;
+    let mut pace = Pace::default();
     let mut pieces = match app.engine.generate(at, request, deadline).await {
         Ok(pieces) => pieces,
         Err(e) => return Attempt::Failed(e),
@@ -149,13 +153,19 @@
     loop {
         match pieces.next(deadline).await {
             Ok(Piece::Tokens { text, count, version }) => {
+                pace.piece(count, Instant::now());
                 labeller.tokens(count, version);
                 request.so_far.push_str(&text);
                 request.tokens_so_far += count;
             }
             Ok(Piece::Cached { version }) => labeller.cached(version),
             Ok(Piece::Preempted) => return Attempt::Preempted,
-            Ok(Piece::Done) => return Attempt::Whole,
+            Ok(Piece::Done) => {
+                let now = Instant::now();
+                let (tokens, took) = pace.measured(now);
+                app.board.targets.load().paced(used.target(), tokens, took, now);
+                return Attempt::Whole;
+            }
             Err(e) => return Attempt::Failed(e),
         }
         if !app.keepers.wants(&job.id, start) {
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use rand::Rng;
+use smallvec::SmallVec;
 
 use crate::Listed;
 use crate::TargetKind;
@@ -17,6 +18,18 @@
 
 /// After this time a load report counts half, after twice the time a quarter.
 const REPORT_HALF_LIFE_MS: u64 = 500;
+/// The weight of a new pace in the running average: one in this many.
+const PACE_OVER: u32 = 8;
+/// A target is slow whose pace is more than this many times the median of its
+/// kind, and no longer so once it is within half as much again.
+const SLOW_TIMES: u32 = 2;
+/// Targets with a known pace that a comparison needs.
+const LEAST_COMPARED: usize = 3;
+/// Paces that are compared without allocating.
+const PACES_AT_HAND: usize = 64;
+/// A slow target gets one request after this long without any, to see whether
+/// it has recovered.
+const TRY_SLOW_AFTER_MS: u64 = 20_000;
 /// How long a target is avoided after a failure; twice as long after each more.
 const FIRST_AVOIDED: Duration = Duration::from_secs(1);
 const MOST_DOUBLINGS: u32 = 5;
@@ -95,6 +108,13 @@
     reported_ms: AtomicU64,
     /// When it was last asked for its load, on the same clock.
     asked_ms: AtomicU64,
+    /// Running average of the time for one token there, in microseconds; 0 for
+    /// not known.
+    pace_us: AtomicU32,
+    /// When that was last updated.
+    paced_ms: AtomicU64,
+    /// Whether it is much slower than its peers.
+    slow: AtomicBool,
     /// Whether the last attempt to reach it failed; a load report clears it.
     unreachable: AtomicBool,
     /// Requests that failed there since the last one that succeeded.
@@ -134,6 +154,9 @@
             other_callers: AtomicU32::new(0),
             reported_ms: AtomicU64::new(0),
             asked_ms: AtomicU64::new(0),
+            pace_us: AtomicU32::new(0),
+            paced_ms: AtomicU64::new(0),
+            slow: AtomicBool::new(false),
             unreachable: AtomicBool::new(false),
             failures: AtomicU32::new(0),
             avoided_until_ms: AtomicU64::new(0),
@@ -176,6 +199,12 @@
         self.asked_ms.load(Ordering::Relaxed)
     }
 
+    /// Says whether it is much slower than its peers.
+    #[must_use]
+    pub fn is_slow(&self) -> bool {
+        self.slow.load(Ordering::Relaxed)
+    }
+
     /// Counts a request in, if the target is still open.
     #[must_use]
     pub fn begin(self: &Arc<Self>) -> Option<Use> {
@@ -201,8 +230,15 @@
         (own + others) / u64::from(self.listed.slots.max(1))
     }
 
+    /// Whether it is slow and not due to be tried again with one request.
+    fn is_held_back(&self, now_ms: u64) -> bool {
+        let due = self.paced_ms.load(Ordering::Relaxed) + TRY_SLOW_AFTER_MS;
+        self.is_slow() && (now_ms < due || self.in_flight() > 0)
+    }
+
     fn is_avoided(&self, now_ms: u64) -> bool {
         self.unreachable.load(Ordering::Relaxed)
+            || self.is_held_back(now_ms)
             || now_ms < self.avoided_until_ms.load(Ordering::Relaxed)
     }
 }
@@ -300,6 +336,42 @@
         target.avoided_until_ms.fetch_max(self.millis(until), Ordering::Relaxed);
     }
 
+    /// Takes in how long a target took for some tokens.
+    pub fn paced(&self, target: &Target, tokens: u32, took: Duration, now: Instant) {
+        if tokens == 0 {
+            return;
+        }
+        let new = u32::try_from((took / tokens).as_micros()).unwrap_or(u32::MAX).max(1);
+        let average = |old: u32| match old {
+            0 => new,
+            old => old - old / PACE_OVER + new / PACE_OVER,
+        };
+        let update = |old| Some(average(old).max(1));
+        // Lost updates of requests that end at once don't matter to an average.
+        let _ = target.pace_us.fetch_update(Ordering::Relaxed, Ordering::Relaxed, update);
+        target.paced_ms.store(self.millis(now), Ordering::Relaxed);
+        self.compare_pace(target);
+    }
+
+    /// Compares a target with its peers: slow is worse than dead, since a few
+    /// of its requests hold up a whole lot.
+    fn compare_pace(&self, target: &Target) {
+        let peers = self.of_kind(&target.listed.what).iter();
+        let mut paces: SmallVec<[u32; PACES_AT_HAND]> =
+            peers.map(|t| t.pace_us.load(Ordering::Relaxed)).filter(|&pace| pace > 0).collect();
+        if paces.len() < LEAST_COMPARED {
+            return;
+        }
+        let middle = (paces.len() - 1) / 2;
+        let median = *paces.select_nth_unstable(middle).1;
+        let pace = target.pace_us.load(Ordering::Relaxed);
+        if pace > median.saturating_mul(SLOW_TIMES) {
+            target.slow.store(true, Ordering::Relaxed);
+        } else if pace <= median + median / 2 {
+            target.slow.store(false, Ordering::Relaxed);
+        }
+    }
+
     /// Takes in that a request succeeded at a target.
     pub fn succeeded(&self, target: &Target) {
         target.failures.store(0, Ordering::Relaxed);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -15,6 +15,7 @@
 mod budget;
 mod choose;
 mod gate;
+mod pace;
 mod room;
 mod subset;
 mod view;
@@ -32,6 +33,7 @@
 pub use crate::gate::GateState;
 pub use crate::gate::Request;
 pub use crate::gate::Waiter;
+pub use crate::pace::Pace;
 pub use crate::room::Occupancy;
 pub use crate::room::room;
 pub use crate::subset::highest;
--- a/crates/route/tests/view.rs
+++ b/crates/route/tests/view.rs
@@ -258,6 +258,32 @@
     assert!(is_tried(0));
 }
 
+#[test]
+fn a_slow_engine_is_left_alone_and_tried_again_later() {
+    let now = Instant::now();
+    let set = many(4);
+    for (i, target) in set.of_kind(&kind()).iter().enumerate() {
+        let token = Duration::from_millis(if i == 0 { 50 } else { 10 });
+        set.paced(target, 10, token * 10, now);
+    }
+    let is_tried = |after_s| {
+        let then = now + Duration::from_secs(after_s);
+        (0..400).any(|_| chosen(&set, Policy::TwoChoices, None, then).listed.id == "e0")
+    };
+    let slow = Arc::clone(&set.of_kind(&kind())[0]);
+    set.paced(&slow, 10, Duration::from_millis(500), now);
+    assert!(slow.is_slow() && !is_tried(19) && is_tried(21));
+    // One request at a time finds out whether it has recovered.
+    let used = slow.begin();
+    assert!(!is_tried(21));
+    drop(used);
+    let later = now + Duration::from_secs(21);
+    for _ in 0..40 {
+        set.paced(&slow, 10, Duration::from_millis(100), later);
+    }
+    assert!(!slow.is_slow() && is_tried(21));
+}
+
 #[test]
 fn a_prefix_goes_to_its_engine_until_that_one_is_much_busier() {
     let now = Instant::now();
