Stream answers to callers that ask for it

Cause: answers were collected whole before they went out, so a caller waited for the last token to see the first.

Ruled out: passing the engine's events through, since another engine may have to go on in the middle.

Change: stream true sends each piece on as it comes. A stream is whole only if it ends with [DONE]; one that fails ends with an error event and a connection closed in the middle of the body.

Measured: the trial breaks streams at one of two engines; 50 or more of 60 are whole, the others show that they are not.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -38,7 +38,8 @@
 /// Sends a request over one of the contract's routes.
 ///
 /// The header `authorization: Bearer KEY` is needed. A request to generate has
-/// the body `{"prompt": TEXT, "max_tokens": N}`. A route that is not
+/// the body `{"prompt": TEXT, "max_tokens": N, "stream": BOOL}`. A stream is
+/// whole only if it ends with `data: [DONE]`. A route that is not
 /// idempotent answers 428 with a ticket at first; the request is then sent
 /// with the header `cassia-ticket`, and so is each retry.
 #[endpoint { method = POST, path = "/v1/{customer}/{route}" }]
@@ -62,6 +63,9 @@
     let idempotent = contract.route(&route).is_none_or(|route| route.idempotent);
     let finished = if idempotent {
         let call = app.call(contract, &route, body, within).map_err(blind)?;
+        if call.wants_stream() {
+            return app.stream(call).await.map_err(blind);
+        }
         app.serve(&call).await.map_err(blind)?
     } else {
         app.serve_once(contract, &route, body, within, ticket).await?
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -49,6 +49,7 @@
 use crate::answer::Finished;
 use crate::gates::Gates;
 use crate::gates::Pass;
+use crate::generate::generate_body;
 use crate::once::Ends;
 
 /// When a caller is asked back after a failure at a target.
@@ -101,6 +102,12 @@
         }
     }
 
+    /// Whether the caller asked for its answer piece by piece.
+    pub(crate) fn wants_stream(&self) -> bool {
+        matches!(self.route.kind, RouteKind::Generate { .. })
+            && generate_body(self).is_ok_and(|body| body.stream)
+    }
+
     pub(crate) fn target_kind(&self) -> TargetKind {
         match &self.route.kind {
             RouteKind::Generate { model } => TargetKind::Engine { model: model.clone() },
--- a/crates/entry/src/generate.rs
+++ b/crates/entry/src/generate.rs
@@ -5,6 +5,8 @@
 use std::hash::DefaultHasher;
 use std::time::Instant;
 
+use async_trait::async_trait;
+use cassia_ids::Version;
 use cassia_node::ApiError;
 use cassia_node::ApiErrorKind;
 use cassia_platform::Generate;
@@ -22,6 +24,7 @@
 use crate::answer::target_failed;
 use crate::app::App;
 use crate::app::Call;
+use crate::gates::Pass;
 
 /// Bytes of the prompt that requests share when they share a cache entry.
 const PREFIX_BYTES: usize = 256;
@@ -30,9 +33,39 @@
 /// The body of a request to generate.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
-struct GenerateBody {
+pub(crate) struct GenerateBody {
     prompt: SmolStr,
     max_tokens: Option<u32>,
+    /// Whether the answer goes out piece by piece.
+    #[serde(default)]
+    pub(crate) stream: bool,
+}
+
+/// A request to generate that was let through the gate.
+#[derive(Debug)]
+pub(crate) struct Generation {
+    request: Generate,
+    labeller: Labeller,
+    affinity: u64,
+    /// Holds the slot until the end.
+    _pass: Pass,
+}
+
+/// Takes the pieces of an answer as they come.
+#[async_trait]
+pub(crate) trait Sink: Send {
+    /// Takes a piece; false if nobody wants the rest.
+    async fn piece(&mut self, text: &str, tokens: u32, version: Option<Version>) -> bool;
+}
+
+/// Takes no piece by itself: the whole answer is taken at the end.
+struct Collected;
+
+#[async_trait]
+impl Sink for Collected {
+    async fn piece(&mut self, _: &str, _: u32, _: Option<Version>) -> bool {
+        true
+    }
 }
 
 /// How an attempt at one engine ended.
@@ -40,15 +73,27 @@
     Whole,
     /// The engine gave our slot away: go on elsewhere.
     Preempted,
+    /// Nobody waits for the answer any more.
+    NotWanted,
     Failed(PlatformError),
 }
 
 impl App {
     pub(crate) async fn generate(&self, call: &Call) -> Result<Finished, ApiError> {
-        let body: GenerateBody = serde_json::from_slice(&call.body).map_err(|e| {
-            ApiError::not_run(ApiErrorKind::BadRequest, "parse body", e.to_string())
-        })?;
-        let mut request = Generate {
+        let body = generate_body(call)?;
+        let generation = self.begin(call, body).await?;
+        let generated = self.run(call, generation, &mut Collected).await?;
+        Ok(Finished::json(&generated))
+    }
+
+    /// Waits at the gate.
+    pub(crate) async fn begin(
+        &self,
+        call: &Call,
+        body: GenerateBody,
+    ) -> Result<Generation, ApiError> {
+        let affinity = prefix_hash(&body.prompt);
+        let request = Generate {
             request_id: call.id.clone(),
             model: call.model(),
             prompt: body.prompt,
@@ -57,15 +102,23 @@
             max_tokens: body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
             priority: call.route.class.engine_priority(call.contract.priority),
         };
-        let _pass = self.pass(call).await?;
-        let affinity = Some(prefix_hash(&request.prompt));
-        let mut labeller = Labeller::default();
+        let pass = self.pass(call).await?;
+        Ok(Generation { request, labeller: Labeller::default(), affinity, _pass: pass })
+    }
+
+    /// Sees a request through, at another engine where one fails.
+    pub(crate) async fn run(
+        &self,
+        call: &Call,
+        mut generation: Generation,
+        sink: &mut dyn Sink,
+    ) -> Result<Generated, ApiError> {
         let mut attempts = Attempts::default();
         loop {
             let used = self
-                .choose(call, affinity, attempts.failed_at.as_ref())
+                .choose(call, Some(generation.affinity), attempts.failed_at.as_ref())
                 .map_err(|e| attempts.error(e))?;
-            let e = match self.attempt(call, &used, &mut request, &mut labeller).await {
+            let e = match self.attempt(call, &used, &mut generation, sink).await {
                 Attempt::Whole => {
                     self.succeeded(call, &used);
                     break;
@@ -74,6 +127,11 @@
                     attempts.preempted();
                     continue;
                 }
+                Attempt::NotWanted => {
+                    let message = "the caller went away";
+                    let kind = ApiErrorKind::CallerGone;
+                    return Err(ApiError::unknown(kind, "answer", message));
+                }
                 Attempt::Failed(e) => e,
             };
             attempts.failed(&used.target().listed.id, &e);
@@ -81,9 +139,9 @@
                 return Err(attempts.error(target_failed(&e, call.deadline)));
             }
         }
-        let spans = labeller.finish().map(|label| label.spans).unwrap_or_default();
-        let request_id = call.id.clone();
-        Ok(Finished::json(&Generated { request_id, text: request.so_far, spans }))
+        let spans = generation.labeller.finish().map(|label| label.spans).unwrap_or_default();
+        let text = generation.request.so_far;
+        Ok(Generated { request_id: call.id.clone(), text, spans })
     }
 
     /// Collects one engine's pieces; what it made counts for the next engine.
@@ -91,9 +149,10 @@
         &self,
         call: &Call,
         used: &Use,
-        request: &mut Generate,
-        labeller: &mut Labeller,
+        generation: &mut Generation,
+        sink: &mut dyn Sink,
     ) -> Attempt {
+        let Generation { request, labeller, .. } = generation;
         let at = used.target().listed.addr;
         let mut pace = Pace::default();
         let mut pieces = match self.engine.generate(at, request, call.deadline).await {
@@ -107,6 +166,9 @@
                     labeller.tokens(count, version);
                     request.so_far.push_str(&text);
                     request.tokens_so_far += count;
+                    if !sink.piece(&text, count, version).await {
+                        return Attempt::NotWanted;
+                    }
                 }
                 Ok(Piece::Cached { version }) => labeller.cached(version),
                 Ok(Piece::Preempted) => return Attempt::Preempted,
@@ -122,6 +184,12 @@
     }
 }
 
+/// Reads the body of a request to generate.
+pub(crate) fn generate_body(call: &Call) -> Result<GenerateBody, ApiError> {
+    serde_json::from_slice(&call.body)
+        .map_err(|e| ApiError::not_run(ApiErrorKind::BadRequest, "parse body", e.to_string()))
+}
+
 fn prefix_hash(prompt: &str) -> u64 {
     let bytes = prompt.as_bytes();
     let prefix = &bytes[..bytes.len().min(PREFIX_BYTES)];
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -8,6 +8,7 @@
 mod gauges;
 mod generate;
 mod once;
+mod stream;
 
 use std::io::stdout;
 use std::process::ExitCode;
--- a/crates/node/src/api_error.rs
+++ b/crates/node/src/api_error.rs
@@ -45,6 +45,8 @@
     BadCursor,
     /// This process has no configuration yet.
     NotConfigured,
+    /// The caller went away before its answer was whole.
+    CallerGone,
     /// A fault of this project.
     Internal,
 }
@@ -152,6 +154,7 @@
                 ErrorStatusCode::SERVICE_UNAVAILABLE
             }
             ApiErrorKind::TargetFailed | ApiErrorKind::MinterGone => ErrorStatusCode::BAD_GATEWAY,
+            ApiErrorKind::CallerGone => ErrorStatusCode::BAD_REQUEST,
             ApiErrorKind::DeadlinePassed => ErrorStatusCode::GATEWAY_TIMEOUT,
             ApiErrorKind::Internal => ErrorStatusCode::INTERNAL_SERVER_ERROR,
         }
--- a/crates/trials/src/client.rs
+++ b/crates/trials/src/client.rs
@@ -70,6 +70,27 @@
         self.send(builder.body(Full::new(Bytes::from(body.to_string())))).await
     }
 
+    /// Sends a POST and gives the body as far as it came, and whether the
+    /// connection delivered all of it.
+    pub async fn stream(&self, to: SocketAddr, path: &str, body: &Value) -> (String, bool) {
+        let request = Request::post(format!("http://{to}{path}"))
+            .header("authorization", format!("Bearer {}", self.key))
+            .body(Full::new(Bytes::from(body.to_string())));
+        let Ok(request) = request else {
+            return (String::new(), false);
+        };
+        let mut text = Vec::new();
+        let whole = async {
+            let mut body = self.client.request(request).await.ok()?.into_body();
+            while let Some(frame) = body.frame().await {
+                text.extend_from_slice(frame.ok()?.data_ref()?);
+            }
+            Some(())
+        };
+        let whole = timeout(TIMEOUT, whole).await.ok().flatten().is_some();
+        (String::from_utf8_lossy(&text).into_owned(), whole)
+    }
+
     /// Gets a ticket for a non-idempotent route; empty if there is none.
     pub async fn ticket(&self, to: SocketAddr, path: &str) -> String {
         let reply = self.post(to, path, &[], &serde_json::json!({})).await;
--- a/crates/trials/tests/callers.rs
+++ b/crates/trials/tests/callers.rs
@@ -282,3 +282,46 @@
     assert!(back.await);
     Ok(())
 }
+
+/// The texts of a stream's events, and whether it ended as a whole one does.
+fn texts(stream: &str) -> (String, bool) {
+    let events = stream.split("\n\n").filter_map(|event| event.strip_prefix("data: "));
+    let pieces = events.clone().filter_map(|data| serde_json::from_str(data).ok());
+    let texts: Vec<_> = pieces
+        .map(|piece: serde_json::Value| piece["text"].as_str().unwrap_or_default().to_owned())
+        .collect();
+    (texts.concat(), events.last() == Some("[DONE]"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_streamed_answer_is_whole_or_shows_that_it_is_not() -> anyhow::Result<()> {
+    let setup = Setup::new(0).await?;
+    let engine = setup.engine("renewals-1").await?;
+    setup.trial.sees(&setup.entry, 1, 0).await?;
+    let body = json!({"prompt": "x", "max_tokens": 20, "stream": true});
+    let (stream, delivered) = setup.caller.stream(setup.entry.listen, PATH, &body).await;
+    assert_eq!((texts(&stream), delivered), ((whole(20), true), true));
+    // The engine breaks each stream: what is made so far goes on at the next
+    // attempt, and where none is left the caller sees that it is not whole.
+    engine.set_faults(EngineFaults { cut_after: Some(8), ..EngineFaults::default() });
+    let (stream, delivered) = setup.caller.stream(setup.entry.listen, PATH, &body).await;
+    assert_eq!((texts(&stream), delivered), ((whole(8), false), false));
+    assert!(stream.contains("\"error\"") && stream.contains("\"unknown\""), "{stream}");
+    let _good = setup.engine("renewals-2").await?;
+    setup.trial.sees(&setup.entry, 2, 0).await?;
+    let mut resumed = 0;
+    for n in 0..60 {
+        let body = json!({"prompt": format!("{n}"), "max_tokens": 20, "stream": true});
+        let (stream, delivered) = setup.caller.stream(setup.entry.listen, PATH, &body).await;
+        let (text, done) = texts(&stream);
+        assert_eq!(done, delivered);
+        assert!(!done || text == whole(20), "{stream}");
+        resumed += u32::from(done);
+    }
+    assert!(resumed >= 50, "{resumed} of 60");
+    // What goes wrong before the head has a status of its own.
+    let odd = json!({"prompt": 7, "stream": true});
+    let reply = setup.caller.post(setup.entry.listen, PATH, &[], &odd).await;
+    assert_eq!((reply.status, reply.text("kind")), (400, "bad_request"));
+    Ok(())
+}
