Ask few engines when all are done; bear a slow log; take targets from a peer

Cause: the capacity rows showed that a control process asked each engine of a model four times a second: 2,400 reports a second at 600 engines. A log whose answers took longer than 2 s was never read. A host that started while the list was down had contracts from its peers and no targets.

Ruled out: a lease for each data centre to spread the reports, which adds appends and leaves the sum as it is; a long fixed patience, which lets a silent log connection hold changes up beyond 8 s.

Tests: a log that takes 4 s for each answer; a process that starts without log and list and serves by its peer's word.

--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -25,6 +25,7 @@
 
 /// How long a read waits at the log for news, at most.
 const LONG_POLL: Duration = Duration::from_millis(500);
+const LEAST_PATIENCE: Duration = Duration::from_secs(1);
 /// Pause after the log failed.
 const LOG_PAUSE: Duration = Duration::from_millis(250);
 /// Records after which the table is appended again.
@@ -62,7 +63,8 @@
     pub(crate) async fn run(mut self) {
         let mut synced = false;
         while !self.app.board.is_stopping() {
-            match self.log.read(STREAM, self.follow.next_read().offset(), self.wait()).await {
+            let from = self.follow.next_read().offset();
+            match self.log.read(STREAM, from, self.wait(), self.patience()).await {
                 Ok(page) => {
                     synced = page.records.is_empty() || synced;
                     self.take_page(page);
@@ -85,6 +87,11 @@
         (self.term / 10).min(LONG_POLL)
     }
 
+    /// A read that takes longer shows the holder its renewals too late.
+    fn patience(&self) -> Duration {
+        (self.term / 3).max(LEAST_PATIENCE)
+    }
+
     fn take_page(&mut self, page: LogPage) {
         self.follow.bounds(page.first, page.end);
         for r in page.records {
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use cassia_ids::ModelName;
+use cassia_ids::TargetId;
 use cassia_ids::Version;
 use cassia_orders::Plan;
 use cassia_orders::Seen;
@@ -26,48 +27,89 @@
 /// How often a round is worked out.
 const EVERY: Duration = Duration::from_millis(250);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Engines that are asked each round although they are done: one that was
+/// restarted with old weights is found in time.
+const CHECKED_A_ROUND: usize = 2;
 /// The longest that an order is on its way.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long engines have to stage before the others go ahead.
 const STAGE_LIMIT: Duration = Duration::from_mins(2);
 
-/// When each model's newest version was first seen.
-type FirstSeen = BTreeMap<(ModelName, Version), Instant>;
+/// What is known of one model's engines, from round to round.
+#[derive(Debug)]
+struct Rollout {
+    version: Version,
+    /// When the version was first seen.
+    since: Instant,
+    seen: BTreeMap<TargetId, Seen>,
+    /// Where the rotation through the engines that are done goes on.
+    next_check: usize,
+}
+
+impl Rollout {
+    fn new(version: Version) -> Self {
+        Self { version, since: Instant::now(), seen: BTreeMap::new(), next_check: 0 }
+    }
+
+    /// Chooses the engines to ask: those that aren't known to be done, and a few
+    /// of the others in turn. Asking all of 600 each round would cost more than
+    /// the orders themselves.
+    fn choose_asked<'a>(&mut self, engines: &'a [Listed]) -> Vec<&'a Listed> {
+        let done = |engine: &&Listed| {
+            let version = self.seen.get(&engine.id).and_then(|seen| seen.version);
+            version.is_some_and(|version| version >= self.version)
+        };
+        let (done, mut ask): (Vec<_>, Vec<_>) = engines.iter().partition(done);
+        for _ in 0..CHECKED_A_ROUND.min(done.len()) {
+            self.next_check += 1;
+            ask.push(done[self.next_check % done.len()]);
+        }
+        ask
+    }
+}
 
 /// Runs until a planned stop.
 pub(crate) async fn run(app: Arc<App>) {
-    let mut first_seen = FirstSeen::new();
+    let mut rollouts: BTreeMap<ModelName, Rollout> = BTreeMap::new();
     while !app.board.is_stopping() {
         let deadline = Instant::now() + REPORT_TIMEOUT;
         if let Ok(latest) = app.platform.latest(deadline).await {
             app.latest.store(Arc::new(latest));
         }
-        let latest = app.latest.load_full();
-        first_seen.retain(|(model, version), _| {
-            latest.iter().any(|l| l.model == *model && l.version == *version)
-        });
-        for l in latest.iter() {
-            let key = (l.model.clone(), l.version);
-            let since = *first_seen.entry(key).or_insert_with(Instant::now);
+        for l in app.latest.load_full().iter() {
+            let rollout =
+                rollouts.entry(l.model.clone()).or_insert_with(|| Rollout::new(l.version));
+            if rollout.version != l.version {
+                *rollout = Rollout::new(l.version);
+            }
             if let Some(held) = app.held(&l.model) {
-                let overdue = since.elapsed() > STAGE_LIMIT;
-                round(&app, &l.model, l.version, held, overdue).await;
+                round(&app, &l.model, rollout, held).await;
             }
         }
         sleep(EVERY).await;
     }
 }
 
-async fn round(app: &App, model: &ModelName, latest: Version, held: Held, overdue: bool) {
+async fn round(app: &App, model: &ModelName, rollout: &mut Rollout, held: Held) {
     let engines = engines(app, model);
-    let seen = join_all(engines.iter().map(|engine| seen(app, engine))).await;
-    let seen: Vec<_> = seen.into_iter().flatten().collect();
-    let (kind, ids) = match plan(&seen, latest, overdue) {
+    rollout.seen.retain(|id, _| engines.iter().any(|engine| engine.id == *id));
+    let ask = rollout.choose_asked(&engines);
+    let reports = join_all(ask.iter().map(|engine| seen(app, engine))).await;
+    for (engine, report) in ask.iter().zip(reports) {
+        match report {
+            Some(seen) => rollout.seen.insert(engine.id.clone(), seen),
+            None => rollout.seen.remove(&engine.id),
+        };
+    }
+    let seen: Vec<_> = rollout.seen.values().cloned().collect();
+    let overdue = rollout.since.elapsed() > STAGE_LIMIT;
+    let (kind, ids) = match plan(&seen, rollout.version, overdue) {
         Plan::Done => return,
         Plan::Stage(ids) => (OrderKind::Stage, ids),
         Plan::Activate(ids) => (OrderKind::Activate, ids),
     };
-    let order = Order { fence: held.fence, model: model.clone(), version: latest, kind };
+    let version = rollout.version;
+    let order = Order { fence: held.fence, model: model.clone(), version, kind };
     let chosen = engines.iter().filter(|engine| ids.contains(&engine.id));
     join_all(chosen.map(|engine| give(app, engine, &order, held))).await;
 }
--- a/crates/ctl/src/contracts.rs
+++ b/crates/ctl/src/contracts.rs
@@ -56,7 +56,7 @@
         let mut judged = Vec::new();
         loop {
             let from = self.follow.next_read().offset();
-            let page = self.log.read(STREAM, from, Duration::ZERO).await?;
+            let page = self.log.read(STREAM, from, Duration::ZERO, READ_BACK).await?;
             self.follow.bounds(page.first, page.end);
             let done = page.records.is_empty();
             for r in page.records {
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -189,7 +189,9 @@
         let deadline = Instant::now() + left;
         match ask(REDEEM, ticket.minter, Ask::Redeem(question), deadline).await {
             Ok(Reply::Served(served)) => Ok(served.into()),
-            Ok(Reply::Config(_)) => Err(unknown("the minter's reply makes no sense")),
+            Ok(Reply::Config(_) | Reply::Targets(_)) => {
+                Err(unknown("the minter's reply makes no sense"))
+            }
             // Not even a failure to connect means that it did not run: an
             // earlier attempt may have reached the minter.
             Err(e) => {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -17,6 +17,7 @@
 use cassia_follow::Follow;
 use cassia_follow::Replayed;
 use cassia_ids::Offset;
+use cassia_platform::ErrorKind;
 use cassia_platform::Log;
 use cassia_platform::LogPage;
 use cassia_platform::PlatformError;
@@ -39,6 +40,10 @@
 const LONG_POLL: Duration = Duration::from_secs(2);
 /// How often a process that isn't a reader looks at the log all the same.
 const BACKSTOP: Duration = Duration::from_secs(30);
+/// How much longer than asked an answer of the log may take, at first and at
+/// most.
+const FIRST_PATIENCE: Duration = Duration::from_secs(2);
+const MOST_PATIENCE: Duration = Duration::from_secs(20);
 /// Pause after the log failed, with as much again at random.
 const LOG_PAUSE: Duration = Duration::from_millis(500);
 /// How long a peer has to send its configuration.
@@ -69,9 +74,15 @@
     next_read: Instant,
     /// While the log answers nothing, the next read waits.
     log_failed: bool,
+    /// How long an answer of the log may take.
+    patience: Patience,
     complaints: RateLimit,
 }
 
+/// A length of time that grows while a slow log answers too late, and is short
+/// again once it answers: a connection that is merely silent is left soon.
+type Patience = Duration;
+
 impl ConfigController {
     pub(crate) fn new(board: Arc<Board>, log: Arc<dyn Log>, retention_s: u64) -> Self {
         Self {
@@ -82,6 +93,7 @@
             snapshot_at: None,
             next_read: Instant::now(),
             log_failed: false,
+            patience: FIRST_PATIENCE,
             complaints: RateLimit::default(),
         }
     }
@@ -134,18 +146,22 @@
         let have = self.follow.state().next();
         // A read that hangs at the log must not keep news of peers out.
         let read = tokio::select! {
-            read = log.read(STREAM, from, wait) => read,
+            read = log.read(STREAM, from, wait, self.patience) => read,
             _ = ahead.wait_for(|a| a.is_some_and(|a| a.next > have)) => return,
         };
         match read {
             Ok(page) => {
                 self.log_failed = false;
+                self.patience = FIRST_PATIENCE;
                 self.next_read = Instant::now() + BACKSTOP + jitter;
                 self.take_page(page);
             }
             Err(e) => {
                 self.log_failed = true;
                 self.next_read = Instant::now() + LOG_PAUSE + jitter;
+                if e.kind == ErrorKind::Silent {
+                    self.patience = (self.patience * 2).min(MOST_PATIENCE);
+                }
                 self.complain("log_unreachable", &e);
             }
         }
@@ -185,7 +201,7 @@
                     self.publish(Vec::new());
                 }
             }
-            Ok(Reply::Served(_)) => {}
+            Ok(Reply::Served(_) | Reply::Targets(_)) => {}
             Err(e) => self.complain("peer_unreachable", &e),
         }
         // Whatever came of it, this hint is used up; the peers' next datagrams
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -46,6 +46,8 @@
 pub use crate::link_message::Reply;
 pub use crate::link_message::Served;
 pub use crate::link_message::TakeOverAsk;
+pub use crate::link_message::TargetsAsk;
+pub use crate::link_message::TargetsReply;
 pub use crate::loads::poll_loads;
 pub use crate::logging::RateLimit;
 pub use crate::logging::start_logging;
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -36,6 +36,7 @@
 use crate::Reply;
 use crate::link_message::ConfigAsk;
 use crate::link_message::ConfigRecord;
+use crate::link_message::TargetsReply;
 
 const MOST_FRAME_BYTES: usize = 32 << 20;
 const MOST_CONNECTIONS: usize = 256;
@@ -148,6 +149,7 @@
         .map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e.to_string()))?;
     let reply = match question.ask {
         Some(Ask::Config(config)) => Some(Reply::Config(config_reply(board, &config))),
+        Some(Ask::Targets(_)) => Some(Reply::Targets(targets_reply(board))),
         Some(ask) => handler.answer(ask).await,
         None => None,
     };
@@ -155,6 +157,11 @@
     frames.send(Bytes::from(reply)).await
 }
 
+fn targets_reply(board: &Board) -> TargetsReply {
+    let copy = board.change_targets(|view| (false, view.copy()));
+    TargetsReply { copy: serde_json::to_string(&copy).unwrap_or_default() }
+}
+
 fn config_reply(board: &Board, ask: &ConfigAsk) -> ConfigReply {
     if let Some(records) = board.records_from(ask.next) {
         let records =
--- a/crates/node/src/link_message.rs
+++ b/crates/node/src/link_message.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Message, PartialEq)]
 pub struct LinkRequest {
     /// What is asked.
-    #[prost(oneof = "Ask", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Ask", tags = "1, 2, 3, 4, 5")]
     pub ask: Option<Ask>,
 }
 
@@ -27,6 +27,9 @@
     /// To take a trainer's samples over.
     #[prost(message, tag = "4")]
     TakeOver(TakeOverAsk),
+    /// For the targets, by one whom the platform's list doesn't answer.
+    #[prost(message, tag = "5")]
+    Targets(TargetsAsk),
 }
 
 /// Asks for what the configuration has past an offset.
@@ -88,11 +91,15 @@
     pub kept: Vec<u8>,
 }
 
+/// Asks for the targets.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct TargetsAsk {}
+
 /// A reply.
 #[derive(Clone, Message, PartialEq)]
 pub struct LinkReply {
     /// What is replied.
-    #[prost(oneof = "Reply", tags = "1, 2")]
+    #[prost(oneof = "Reply", tags = "1, 2, 3")]
     pub reply: Option<Reply>,
 }
 
@@ -105,6 +112,17 @@
     /// The answer to hand to the caller.
     #[prost(message, tag = "2")]
     Served(Served),
+    /// The targets.
+    #[prost(message, tag = "3")]
+    Targets(TargetsReply),
+}
+
+/// The targets, as the asked process sees them.
+#[derive(Clone, Message, PartialEq)]
+pub struct TargetsReply {
+    /// A copy of the list, as JSON.
+    #[prost(string, tag = "1")]
+    pub copy: String,
 }
 
 /// The configuration past an offset.
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -41,6 +41,7 @@
     async fn append(&self, stream: &str, record: String) -> Result<Offset, PlatformError>;
 
     /// Reads records from an offset on, and waits a while if there are none.
+    /// `patience` is how much longer than that the answer may take.
     ///
     /// # Errors
     ///
@@ -50,5 +51,6 @@
         stream: &str,
         from: Offset,
         wait: Duration,
+        patience: Duration,
     ) -> Result<LogPage, PlatformError>;
 }
--- a/crates/platform/src/log_http.rs
+++ b/crates/platform/src/log_http.rs
@@ -18,7 +18,8 @@
 use crate::LogPage;
 use crate::PlatformError;
 
-const TIMEOUT: Duration = Duration::from_secs(2);
+/// An append may take this long; a slow log is slow for its readers first.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The log, as one address serves it.
 #[derive(Debug)]
@@ -50,7 +51,7 @@
     async fn append(&self, stream: &str, record: String) -> Result<Offset, PlatformError> {
         let path = format!("/streams/{stream}/records");
         let body = Append { record };
-        let deadline = Instant::now() + TIMEOUT;
+        let deadline = Instant::now() + APPEND_TIMEOUT;
         let answer: Appended =
             self.client.json("log append", self.addr, &path, Some(&body), deadline).await?;
         Ok(answer.offset)
@@ -61,9 +62,10 @@
         stream: &str,
         from: Offset,
         wait: Duration,
+        patience: Duration,
     ) -> Result<LogPage, PlatformError> {
         let path = format!("/streams/{stream}/records?from={from}&wait_ms={}", wait.as_millis());
-        let deadline = Instant::now() + wait + TIMEOUT;
+        let deadline = Instant::now() + wait + patience;
         self.client.json::<(), _>("log read", self.addr, &path, None, deadline).await
     }
 }
--- a/crates/rollout/src/app.rs
+++ b/crates/rollout/src/app.rs
@@ -157,7 +157,7 @@
         let deadline = Instant::now() + wait_of(pull) + FORWARD_MARGIN;
         match ask("forward pull", keeper, Ask::Pull(question), deadline).await {
             Ok(Reply::Served(served)) => Some(served),
-            Ok(Reply::Config(_)) => None,
+            Ok(Reply::Config(_) | Reply::Targets(_)) => None,
             Err(e) => {
                 let peer = e.peer.as_str();
                 log::warn!(event = "keeper_unreachable", step = e.step, peer; "{e}");
@@ -305,7 +305,7 @@
                 let status = if taken { 200 } else { 404 };
                 return Some(Reply::Served(Served { status, body: Vec::new() }));
             }
-            Ask::Config(_) | Ask::Redeem(_) => return None,
+            Ask::Config(_) | Ask::Redeem(_) | Ask::Targets(_) => return None,
         };
         let served = match self.board.contract(&customer) {
             Some(contract) => match parse(&body) {
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -91,6 +91,13 @@
         known.map(|k| k.leaving = true).is_some()
     }
 
+    /// Gives all that is known as a copy, for a peer that has none.
+    #[must_use]
+    pub fn copy(&self) -> ListCopy {
+        let targets = self.known.values().cloned().collect();
+        ListCopy { seq: self.newest, targets, peers: Vec::new() }
+    }
+
     /// Lists the targets that may get new work.
     pub fn open(&self) -> impl Iterator<Item = &Listed> {
         self.known.values().filter(|listed| !listed.leaving)
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -48,6 +48,8 @@
 struct State {
     streams: BTreeMap<String, Stream>,
     down: bool,
+    /// How much longer each answer takes, in milliseconds.
+    slow_ms: u64,
     lose_answers: u32,
     appends: u64,
     reads: u64,
@@ -83,6 +85,11 @@
         lock(&self.shared.state).down = down;
     }
 
+    /// Lets each answer take longer.
+    pub fn set_slow(&self, slow_ms: u64) {
+        lock(&self.shared.state).slow_ms = slow_ms;
+    }
+
     /// Loses the answers of the next appends after they took effect.
     pub fn lose_answers(&self, count: u32) {
         lock(&self.shared.state).lose_answers = count;
@@ -202,6 +209,8 @@
         if lock(&self.state).down {
             return Reply::Hang;
         }
+        let slow_ms = lock(&self.state).slow_ms;
+        tokio::time::sleep(Duration::from_millis(slow_ms)).await;
         let path = request.uri().path();
         let Some(stream) =
             path.strip_prefix("/streams/").and_then(|rest| rest.strip_suffix("/records"))
--- a/crates/trials/src/bin/cassia-measure.rs
+++ b/crates/trials/src/bin/cassia-measure.rs
@@ -116,7 +116,7 @@
     }
     row("a change in force everywhere, processes", started.len(), seconds(began) * 1e3, "ms");
     let log = HttpPlatform::default().log(trial.log.addr());
-    let page = log.read("config", next - 1, Duration::ZERO).await?;
+    let page = log.read("config", next - 1, Duration::ZERO, WATCH).await?;
     let bytes = page.records.first().map_or(0, |r: &LogRecord| r.record.len());
     row("a contract's record, processes", started.len(), number(bytes as u64), "bytes");
     Ok(())
--- a/crates/trials/tests/config.rs
+++ b/crates/trials/tests/config.rs
@@ -236,3 +236,39 @@
     assert!(began.elapsed() < IN_FORCE_WITHIN, "{:?}", began.elapsed());
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_that_is_slow_still_brings_changes() -> anyhow::Result<()> {
+    let trial = Trial::start().await?;
+    let alone = trial.start_entry("h1").await?;
+    let first = trial.publish(&savanna(), 0).await?;
+    trial.in_force(&alone, "savanna", first).await?;
+    // Longer than a reader waits at first.
+    trial.log.set_slow(4_000);
+    let second = trial.publish(&Contract { priority: 3, ..savanna() }, first).await?;
+    trial.in_force(&alone, "savanna", second).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_that_starts_without_log_and_list_serves_by_its_peers_word() -> anyhow::Result<()> {
+    let trial = Trial::start().await?;
+    let _engine = trial.start_engine("renewals-1", trial.engine_spec("renewals")).await?;
+    let old = trial.start_entry("h1").await?;
+    let revision = trial.publish(&savanna(), 0).await?;
+    trial.in_force(&old, "savanna", revision).await?;
+    trial.sees(&old, 1, 0).await?;
+    // Nobody answers at these addresses; the peer is known from the settings.
+    let nobody = Proxy::start(trial.log.addr()).await?;
+    nobody.set_cut(true);
+    let log = format!("--log={}", nobody.addr());
+    let list = format!("--list={}", nobody.addr());
+    let seeds = format!("--seeds={}", old.link);
+    let new = trial.start_process("cassia-entry", "h2", "dc1", &[&log, &list, &seeds]).await?;
+    trial.in_force(&new, "savanna", revision).await?;
+    trial.sees(&new, 1, 1).await?;
+    let body = json!({"prompt": "x", "max_tokens": 4});
+    let caller = Caller::new(SAVANNA_KEY);
+    let reply = caller.post(new.listen, "/v1/savanna/quote", &[], &body).await;
+    assert_eq!(reply.status, 200, "{reply:?}");
+    Ok(())
+}
