Spread the leases over the control processes by rank

Cause: whoever starts first claimed every model's lease.

Ruled out: a limit on leases a process, which leaves models without orders when processes are few.

Change: a contender claims later the lower it ranks for the lease by rendezvous among the control processes; one engine that is done is asked a round, not two. The measurement tool gains crowding, weights and the cost of a stream's events.

--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -14,9 +14,11 @@
 use cassia_lease::LeaseTable;
 use cassia_lease::STREAM;
 use cassia_lease::Todo;
+use cassia_node::Board;
 use cassia_node::RateLimit;
 use cassia_platform::Log;
 use cassia_platform::LogPage;
+use cassia_route::rank;
 use smol_str::format_smolstr;
 use tokio::time::sleep;
 
@@ -109,8 +111,11 @@
                 Contender::new(resource, self.host.clone(), boot, self.term, now)
             });
         }
+        let ids = control_ids(&self.app.board);
         let mut acts = Vec::new();
-        for contender in self.contenders.values_mut() {
+        for (model, contender) in &mut self.contenders {
+            let rank = rank(model, &self.app.board.id, &ids);
+            contender.prefer(u32::try_from(rank).unwrap_or(u32::MAX));
             if let Todo::Append(act) = contender.step(Instant::now(), self.follow.state()) {
                 acts.push(act);
             }
@@ -182,3 +187,10 @@
         }
     }
 }
+
+/// Names the control processes that are alive, as far as is known.
+fn control_ids(board: &Board) -> Vec<HostId> {
+    let suffix = format!("/{}", board.role);
+    let peers = board.peers.load();
+    peers.iter().filter(|p| p.id.ends_with(&suffix)).map(|p| p.id.clone()).collect()
+}
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -29,7 +29,7 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Engines that are asked each round although they are done: one that was
 /// restarted with old weights is found in time.
-const CHECKED_A_ROUND: usize = 2;
+const CHECKED_A_ROUND: usize = 1;
 /// The longest that an order is on its way.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long engines have to stage before the others go ahead.
--- a/crates/lease/src/contend.rs
+++ b/crates/lease/src/contend.rs
@@ -17,6 +17,9 @@
 /// A holder renews once a third of the term is gone, so that two renewals may
 /// be lost before it lapses.
 const RENEWALS_PER_TERM: u32 = 3;
+/// Contenders of neighbouring ranks claim this part of a term apart: time
+/// enough for a claim to be seen.
+const CLAIMS_PER_TERM: u32 = 6;
 /// Acts whose fate is unknown and whose send time is still kept.
 const MAX_PENDING: usize = 16;
 
@@ -44,6 +47,8 @@
     seen: Seen,
     /// Until when we hold the lease, by our own clock.
     held: Option<Held>,
+    /// How much later than it might this contender claims; see `prefer`.
+    stagger: Term,
     /// Not before this moment is another act worth sending.
     quiet_until: Instant,
 }
@@ -76,10 +81,17 @@
             sent: BTreeMap::new(),
             seen: Seen { last: None, at: now },
             held: None,
+            stagger: Term::ZERO,
             quiet_until: now,
         }
     }
 
+    /// Lets those of lower rank claim first, so that several leases spread over
+    /// the processes. A later claim is never less safe.
+    pub fn prefer(&mut self, rank: u32) {
+        self.stagger = (self.term / CLAIMS_PER_TERM).saturating_mul(rank).min(self.term);
+    }
+
     /// Gives the fencing number, if the lease is ours at this moment.
     ///
     /// The answer is only good for writes that begin now. A pause may still
@@ -165,8 +177,9 @@
     }
 
     fn claim_when_due(&mut self, now: Instant, free: bool, supersedes: Option<Offset>) -> Todo {
-        let due = self.seen.at + self.term;
-        if now < due && !free {
+        let term = if free { Term::ZERO } else { self.term };
+        let due = self.seen.at + term + self.stagger;
+        if now < due {
             return Todo::WaitUntil(due);
         }
         self.append(now, Verb::Claim { supersedes })
--- a/crates/lease/tests/contest.rs
+++ b/crates/lease/tests/contest.rs
@@ -224,6 +224,16 @@
     assert_eq!(world.holders(69).len(), 1);
 }
 
+#[test]
+fn those_of_lower_rank_claim_first() {
+    let mut world = World::new(3);
+    for (i, rank) in [2, 0, 1].into_iter().enumerate() {
+        world.racers[i].contender.prefer(rank);
+    }
+    world.run(&vec![vec![Turn::Works; 3]; 20]);
+    assert_eq!(world.holders(19).iter().map(|h| h.0).collect::<Vec<_>>(), [1]);
+}
+
 #[test]
 fn a_released_lease_is_taken_at_once() {
     let mut world = World::new(2);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -309,7 +309,10 @@
         let mut done = so_far;
         while done < most {
             let count = TOKENS_PER_EVENT.min(most - done);
-            sleep(Duration::from_micros(self.spec.token_us * count)).await;
+            // The timer's own step is a millisecond.
+            if self.spec.token_us > 0 {
+                sleep(Duration::from_micros(self.spec.token_us * count)).await;
+            }
             let (faults, version, swapping, preempted) = {
                 let state = lock(&self.state);
                 let kept = state.running.contains(&slot);
--- a/crates/trials/src/bin/cassia-measure.rs
+++ b/crates/trials/src/bin/cassia-measure.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_contract::Contract;
+use cassia_contract::LotSize;
 use cassia_platform::HttpPlatform;
 use cassia_platform::Log;
 use cassia_platform::LogRecord;
@@ -13,6 +15,7 @@
 use cassia_standin::EngineSpec;
 use cassia_standin::EngineStandin;
 use cassia_standin::Proxy;
+use cassia_standin::TrainerStandin;
 use cassia_trials::Caller;
 use cassia_trials::Process;
 use cassia_trials::SAVANNA_KEY;
@@ -26,6 +29,10 @@
 
 const SETTLE: Duration = Duration::from_secs(25);
 const WATCH: Duration = Duration::from_secs(20);
+const SPELL: Duration = Duration::from_secs(6);
+const SPELLS: usize = 4;
+const SWAP_MS: u64 = 3_000;
+const LONGEST_SPREAD: Duration = Duration::from_mins(2);
 const CALLS: u32 = 3_000;
 const CALLERS: usize = 16;
 /// The unit of processor time in /proc, in seconds.
@@ -34,17 +41,101 @@
 
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
+    let chosen = std::env::args().nth(1);
+    let wants = |section: &str| chosen.as_deref().is_none_or(|chosen| chosen == section);
     println!("{:<44} {:>8} {:>14} unit", "what", "size", "value");
-    for peers in [4, 8, 16, 32] {
-        idle(peers, 26).await?;
+    if wants("peers") {
+        for peers in [4, 8, 16, 32] {
+            idle(peers, 26).await?;
+        }
+    }
+    if wants("targets") {
+        for targets in [10, 50, 200, 600] {
+            idle(4, targets).await?;
+        }
+    }
+    if wants("overhead") {
+        overhead().await?;
+    }
+    if wants("weights") {
+        weights().await?;
+    }
+    if wants("crowding") {
+        crowding().await?;
+    }
+    Ok(())
+}
+
+/// What trainers at full load do to callers on the same engines: spells with
+/// and without them in turn.
+async fn crowding() -> anyhow::Result<()> {
+    let trial = Trial::start().await?;
+    let mut engines = Vec::new();
+    for i in 0..3 {
+        let spec = EngineSpec { token_us: 2_000, ..trial.engine_spec("suggestion") };
+        engines.push(trial.start_engine(&format!("suggestion-{i}"), spec).await?);
+    }
+    let entry = trial.start_entry("h1").await?;
+    let rollout = trial.start_rollout("h1").await?;
+    let contract = Contract { lot: LotSize { groups: 16, group_size: 8 }, ..savanna() };
+    let revision = trial.publish(&contract, 0).await?;
+    for process in [&entry, &rollout] {
+        trial.in_force(process, "savanna", revision).await?;
+        trial.sees(process, 3, 1).await?;
+    }
+    let mut without = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3)?;
+    let mut with = without.clone();
+    let mut lots = 0;
+    let hosts = vec![rollout.listen];
+    let mut trainer = TrainerStandin::new("savanna", "suggestion-trainer", SAVANNA_KEY, hosts)
+        .with_prompts(16, 32);
+    for _ in 0..SPELLS {
+        without.add(call_for(SPELL, entry.listen).await?)?;
+        let calls = tokio::spawn(call_for(SPELL, entry.listen));
+        let until = Instant::now() + SPELL;
+        while Instant::now() < until && trainer.step(SPELL).await.is_some() {
+            lots += 1;
+        }
+        with.add(calls.await??)?;
     }
-    for targets in [10, 50, 200, 600] {
-        idle(4, targets).await?;
+    let quantile = |h: &Histogram<u64>, q| number(h.value_at_quantile(q));
+    for (what, q) in [("p50", 0.5), ("p99", 0.99)] {
+        row(&format!("callers alone, {what}"), CALLERS, quantile(&without, q), "us");
+        row(&format!("callers beside a trainer, {what}"), CALLERS, quantile(&with, q), "us");
+        let ratio = quantile(&with, q) / quantile(&without, q);
+        row(&format!("ratio, {what}"), CALLERS, ratio, "target p99: 1.1");
     }
-    overhead().await?;
+    row("lots of 128 samples meanwhile", SPELLS, f64::from(lots), "lots");
     Ok(())
 }
 
+async fn call_for(spell: Duration, entry: SocketAddr) -> anyhow::Result<Histogram<u64>> {
+    let until = Instant::now() + spell;
+    let calls = (0..CALLERS / 2).map(|i| {
+        tokio::spawn(async move {
+            let caller = Caller::new(SAVANNA_KEY);
+            let mut times = Vec::new();
+            while Instant::now() < until {
+                let body = json!({"prompt": format!("{i} {}", times.len()), "max_tokens": 12});
+                let began = Instant::now();
+                let path = "/v1/savanna/suggest";
+                let reply = caller.post(entry, path, &[], &body).await;
+                assert_eq!(reply.status, 200, "{reply:?}");
+                times.push(micros(began));
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            times
+        })
+    });
+    let mut histogram = Histogram::new_with_bounds(1, 60_000_000, 3)?;
+    for call in calls.collect::<Vec<_>>() {
+        for time in call.await? {
+            histogram.saturating_record(time);
+        }
+    }
+    Ok(histogram)
+}
+
 fn row(what: &str, size: usize, value: f64, unit: &str) {
     println!("{what:<44} {size:>8} {value:>14.3} {unit}");
 }
@@ -145,24 +236,73 @@
         row(&format!("call through the entry, {what}"), 1, number(t), "us");
         row(&format!("added by the entry, {what}"), 1, number(t) - number(d), "us");
     }
-    let before = usage(&entry);
+    for events in [1, 10, 100] {
+        let cpu = processor_time(&caller, &entry, 4 * events).await?;
+        row("processor time of a call, events in it", events, cpu * 1e6, "us");
+        row("calls a second for one core, events", events, 1.0 / cpu, "a second");
+    }
+    row("memory after the calls", CALLERS, usage(&entry).memory / 1e6, "MB");
+    Ok(())
+}
+
+/// Gives the processor time of one call in the entry, in seconds.
+async fn processor_time(caller: &Caller, entry: &Process, tokens: usize) -> anyhow::Result<f64> {
+    let before = usage(entry);
     let calls = (0..CALLERS).map(|_| {
         let (caller, at) = (caller.clone(), entry.listen);
+        let body = json!({"prompt": "x", "max_tokens": tokens});
         tokio::spawn(async move {
-            for _ in 0..CALLS {
-                call_entry(&caller, at).await;
+            for _ in 0..CALLS / 3 {
+                let reply = caller.post(at, "/v1/savanna/quote", &[], &body).await;
+                assert_eq!(reply.status, 200, "{reply:?}");
             }
         })
     });
     for call in calls.collect::<Vec<_>>() {
         call.await?;
     }
-    let after = usage(&entry);
-    let calls = f64::from(CALLS) * number(CALLERS as u64);
-    let cpu = (after.cpu_s - before.cpu_s) / calls;
-    row("processor time of a call in the entry", CALLERS, cpu * 1e6, "us");
-    row("calls a second for one core", CALLERS, 1.0 / cpu, "a second");
-    row("memory after the calls", CALLERS, after.memory / 1e6, "MB");
+    let calls = f64::from(CALLS / 3) * number(CALLERS as u64);
+    Ok((usage(entry).cpu_s - before.cpu_s) / calls)
+}
+
+/// How long new weights take until all engines serve them.
+async fn weights() -> anyhow::Result<()> {
+    for count in [8, 48, 192] {
+        let trial = Trial::start().await?;
+        let mut engines = Vec::new();
+        for i in 0..count {
+            let spec = EngineSpec { swap_ms: SWAP_MS, ..trial.engine_spec("caption") };
+            engines.push(trial.start_engine(&format!("caption-{i}"), spec).await?);
+        }
+        trial.weights.publish("caption", 1);
+        let control = trial.start_control("h1").await?;
+        let ops = control.ops;
+        eventually(|| async move {
+            let state = Caller::new("").get(ops, "/state").await.body;
+            state["program"]["held"]["caption"].is_object()
+        })
+        .await;
+        let before = usage(&control);
+        trial.weights.publish("caption", 2);
+        let began = Instant::now();
+        let mut first = None;
+        loop {
+            let done = engines.iter().filter(|e| e.version() == Some(2)).count();
+            if done > 0 {
+                first.get_or_insert_with(Instant::now);
+            }
+            if done == count || began.elapsed() > LONGEST_SPREAD {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let swap = Duration::from_millis(SWAP_MS);
+        let activating = first.map_or(0.0, |first| (first.elapsed() + swap).as_secs_f64());
+        row("publish until all serve it, engines", count, seconds(began), "s");
+        row("of that activating, swaps of 3 s", count, activating, "s; target 10");
+        let cpu = usage(&control).cpu_s - before.cpu_s;
+        row("processor time of control for it", count, cpu * 1e3, "ms");
+    }
     Ok(())
 }
 
