Ask one engine each 200 ms for its load

Cause: a node with an entry and a rollout process came to 16.8 KB/s of 13.

Ruled out: reports through peers, which age on the way.

Change: half as many reports.

--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -15,7 +15,7 @@
 
 /// One engine is asked in this time, the one with the oldest report first: a
 /// process's cost is the same before 26 engines and before 600.
-const EVERY: Duration = Duration::from_millis(100);
+const EVERY: Duration = Duration::from_millis(200);
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Questions that may be open at once; one that hangs must not stop the rest.
 const OPEN_AT_ONCE: usize = 8;
