--- a/crates/control/src/flags.rs
+++ b/crates/control/src/flags.rs
@@ -35,10 +35,10 @@
         let mut faults = Faults::default();
         let term_ms = faults.number("--lease-term-ms", &self.lease_term_ms, 300, 600_000);
         let node = self.node.check(&mut faults);
-        match (term_ms, node, faults.into_result()) {
-            (Some(term_ms), Some(node), Ok(())) => Ok(Settings { term_ms, node }),
-            (.., Err(e)) => Err(e),
-            (.., Ok(())) => unreachable!("a value that is missing has been noted as a fault"),
+        faults.into_result()?;
+        match (term_ms, node) {
+            (Some(term_ms), Some(node)) => Ok(Settings { term_ms, node }),
+            _ => unreachable!("a value that is missing has been noted as a fault"),
         }
     }
 }
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -12,6 +12,7 @@
 use cassia_node::NoQuestions;
 use cassia_node::Node;
 use cassia_node::Role;
+use cassia_node::run_program;
 use cassia_node::start_logging;
 
 use crate::app::App;
@@ -19,24 +20,8 @@
 use crate::leases::LeaseController;
 
 fn main() -> ExitCode {
-    let settings = match flags::flags().run().check() {
-        Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("cassia-control: {e}");
-            return ExitCode::from(2);
-        }
-    };
-    if settings.node.check_only {
-        println!("settings are good");
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("cassia-control: {e:#}");
-            ExitCode::FAILURE
-        }
-    }
+    let checked = flags::flags().run().check();
+    run_program("cassia-control", checked, |settings| settings.node.check_only, run)
 }
 
 #[tokio::main]
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -3,8 +3,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -27,6 +25,7 @@
 use cassia_node::LinkHandler;
 use cassia_node::RedeemAsk;
 use cassia_node::Reply;
+use cassia_node::lock;
 use cassia_once::Desk;
 use cassia_once::Ran;
 use cassia_platform::Engine;
@@ -303,7 +302,3 @@
         })
     }
 }
-
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/entry/src/gates.rs
+++ b/crates/entry/src/gates.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Instant;
 
 use cassia_ids::CustomerId;
+use cassia_node::lock;
 use cassia_route::Entered;
 use cassia_route::Gate;
 use cassia_route::GateState;
@@ -124,7 +124,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<TargetKind, KindGate>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
 
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -3,64 +3,36 @@
 mod answer;
 mod api;
 mod app;
-mod flags;
 mod gates;
 mod gauges;
 mod generate;
 mod once;
 mod stream;
 
-use std::io::stdout;
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use bpaf::Parser;
+use cassia_node::HELP_HEADER;
 use cassia_node::Node;
 use cassia_node::Role;
+use cassia_node::ServerSettings;
 use cassia_node::api_server;
 use cassia_node::poll_loads;
+use cassia_node::server_flags;
 use cassia_node::start_logging;
 
 use crate::app::App;
-use crate::flags::Settings;
 
-fn main() -> ExitCode {
-    let flags = flags::flags().run();
-    if flags.openapi {
-        return print_openapi();
-    }
-    let settings = match flags.check() {
-        Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("cassia-entry: {e}");
-            return ExitCode::from(2);
-        }
-    };
-    if settings.node.check_only {
-        println!("settings are good");
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("cassia-entry: {e:#}");
-            ExitCode::FAILURE
-        }
-    }
-}
+const SUMMARY: &str = "Takes callers' requests, admits them by contract, and answers them whole.";
 
-fn print_openapi() -> ExitCode {
-    let version = semver::Version::new(0, 1, 0);
-    let printed =
-        api::api().and_then(|api| Ok(api.openapi("cassia-entry", version).write(&mut stdout())?));
-    if let Err(e) = printed {
-        eprintln!("cassia-entry: {e:#}");
-        return ExitCode::FAILURE;
-    }
-    ExitCode::SUCCESS
+fn main() -> ExitCode {
+    let flags = server_flags().to_options().descr(SUMMARY).header(HELP_HEADER).run();
+    flags.run_program("cassia-entry", api::api, run)
 }
 
 #[tokio::main]
-async fn run(settings: Settings) -> anyhow::Result<()> {
+async fn run(settings: ServerSettings) -> anyhow::Result<()> {
     start_logging()?;
     let mut node = Node::new(settings.node, Role::Entry)?;
     let app = Arc::new(App::new(Arc::clone(&node.board), Arc::clone(&node.platform)));
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -15,6 +15,7 @@
 use cassia_node::RedeemAsk;
 use cassia_node::Reply;
 use cassia_node::ask;
+use cassia_node::lock;
 use cassia_once::Answer;
 use cassia_once::Outcome;
 use cassia_once::Ran;
@@ -29,7 +30,6 @@
 use crate::app::App;
 use crate::app::Call;
 use crate::app::RETURN_AFTER_FAILURE;
-use crate::app::lock;
 
 const REDEEM: &str = "redeem ticket";
 
--- a/crates/fold/tests/races.rs
+++ b/crates/fold/tests/races.rs
@@ -1,10 +1,7 @@
 //! Operators that race, retries, and refusals: what the fold makes of them.
 
-use std::sync::Arc;
+mod common;
 
-use cassia_contract::Contract;
-use cassia_contract::FORMAT;
-use cassia_contract::LotSize;
 use cassia_fold::Applied;
 use cassia_fold::Fold;
 use cassia_fold::Publish;
@@ -13,29 +10,7 @@
 use cassia_follow::Replayed;
 use rstest::rstest;
 
-fn contract(customer: &str, share_percent: u32) -> Contract {
-    Contract {
-        format: FORMAT,
-        customer: customer.into(),
-        key_hashes: Vec::new(),
-        share_percent,
-        priority: 1,
-        staleness_bound: 2,
-        idle_weight_percent: 50,
-        lot: LotSize { groups: 1, group_size: 1 },
-        routes: Vec::new(),
-        trainers: Vec::new(),
-    }
-}
-
-fn publish(id: &str, customer: &str, amends: u64, share_percent: u32) -> Record {
-    Record::Publish(Publish {
-        publish_id: id.into(),
-        customer: customer.into(),
-        amends,
-        contract: Some(Arc::new(contract(customer, share_percent))),
-    })
-}
+use crate::common::publish;
 
 fn fold(records: &[Record]) -> (Fold, Vec<Applied>) {
     let mut fold = Fold::default();
--- a/crates/fold/tests/retention.rs
+++ b/crates/fold/tests/retention.rs
@@ -1,13 +1,9 @@
 //! Followers of a stream with limited retention, whose snapshots were written
 //! by slow processes, agree whatever they start from.
 
-use std::sync::Arc;
+mod common;
 
-use cassia_contract::Contract;
-use cassia_contract::FORMAT;
-use cassia_contract::LotSize;
 use cassia_fold::Fold;
-use cassia_fold::Publish;
 use cassia_fold::Record;
 use cassia_fold::Snapshot;
 use cassia_follow::Follow;
@@ -16,6 +12,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
+use crate::common::publish;
+
 /// A step of a history: a publish that amends the revision in force, one that
 /// amends an old one, or a snapshot of the state of some records ago.
 #[derive(Clone, Copy, Debug)]
@@ -25,21 +23,6 @@
     Snapshot { lag: usize },
 }
 
-fn contract(share_percent: u32) -> Arc<Contract> {
-    Arc::new(Contract {
-        format: FORMAT,
-        customer: "x".into(),
-        key_hashes: Vec::new(),
-        share_percent,
-        priority: 1,
-        staleness_bound: 2,
-        idle_weight_percent: 50,
-        lot: LotSize { groups: 1, group_size: 1 },
-        routes: Vec::new(),
-        trainers: Vec::new(),
-    })
-}
-
 /// The records of a history, and the state before each of them and after all.
 fn write(steps: &[Step]) -> (Vec<Record>, Vec<Fold>) {
     let mut records = Vec::new();
@@ -47,14 +30,7 @@
     for (i, step) in (0_u64..).zip(steps) {
         let now = states.last().cloned().unwrap_or_default();
         let revision = now.in_force("x").map_or(0, |f| f.revision);
-        let publish = |amends, share| {
-            Record::Publish(Publish {
-                publish_id: format!("p{i}").into(),
-                customer: "x".into(),
-                amends,
-                contract: Some(contract(share)),
-            })
-        };
+        let publish = |amends, share| publish(&format!("p{i}"), "x", amends, share);
         let record = match *step {
             Step::Publish(share) => publish(revision, share),
             Step::Beaten => publish(revision + 1_000, 99),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod experiment;
 mod load;
 mod report;
+mod world;
 
 use std::process::ExitCode;
 
--- a/crates/node/src/board.rs
+++ b/crates/node/src/board.rs
@@ -239,6 +239,6 @@
 
 /// Takes a lock whose holder can't have left it half changed: a panic in the
 /// holder means a bug, and the process stops on its own.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -18,7 +18,7 @@
 }
 
 /// What went wrong, as far as it matters for what to do next.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum ErrorKind {
     /// No connection came about, so nothing was sent.
     #[error("no connection")]
--- a/crates/rollout/src/keepers.rs
+++ b/crates/rollout/src/keepers.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -17,6 +16,7 @@
 use cassia_ids::CustomerId;
 use cassia_ids::ModelName;
 use cassia_ids::TrainerId;
+use cassia_node::lock;
 use cassia_sample::Keeper;
 use cassia_sample::Kept;
 use cassia_sample::LotSpec;
@@ -202,7 +202,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<KeeperId, Entry>> {
-        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.entries)
     }
 }
 
--- a/crates/rollout/src/main.rs
+++ b/crates/rollout/src/main.rs
@@ -2,62 +2,35 @@
 
 mod api;
 mod app;
-mod flags;
 mod gauges;
 mod keepers;
 mod pump;
 
-use std::io::stdout;
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use bpaf::Parser;
+use cassia_node::HELP_HEADER;
 use cassia_node::Node;
 use cassia_node::Role;
+use cassia_node::ServerSettings;
 use cassia_node::api_server;
 use cassia_node::poll_loads;
+use cassia_node::server_flags;
 use cassia_node::start_logging;
 
 use crate::app::App;
-use crate::flags::Settings;
 
-fn main() -> ExitCode {
-    let flags = flags::flags().run();
-    if flags.openapi {
-        return print_openapi();
-    }
-    let settings = match flags.check() {
-        Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("cassia-rollout: {e}");
-            return ExitCode::from(2);
-        }
-    };
-    if settings.node.check_only {
-        println!("settings are good");
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("cassia-rollout: {e:#}");
-            ExitCode::FAILURE
-        }
-    }
-}
+const SUMMARY: &str = "Serves the pulls of trainers: fans groups of samples out to engines and \
+                       hands whole, fresh lots over.";
 
-fn print_openapi() -> ExitCode {
-    let version = semver::Version::new(0, 1, 0);
-    let printed = api::api()
-        .and_then(|api| Ok(api.openapi("cassia-rollout", version).write(&mut stdout())?));
-    if let Err(e) = printed {
-        eprintln!("cassia-rollout: {e:#}");
-        return ExitCode::FAILURE;
-    }
-    ExitCode::SUCCESS
+fn main() -> ExitCode {
+    let flags = server_flags().to_options().descr(SUMMARY).header(HELP_HEADER).run();
+    flags.run_program("cassia-rollout", api::api, run)
 }
 
 #[tokio::main]
-async fn run(settings: Settings) -> anyhow::Result<()> {
+async fn run(settings: ServerSettings) -> anyhow::Result<()> {
     start_logging()?;
     let mut node = Node::new(settings.node, Role::Rollout)?;
     let app = Arc::new(App::new(Arc::clone(&node.board), Arc::clone(&node.platform)));
@@ -65,10 +38,9 @@
     tokio::spawn(poll_loads(Arc::clone(&node.board), Arc::clone(&node.platform) as _));
     tokio::spawn(pump::run(Arc::clone(&app)));
     tokio::spawn(gauges::run(Arc::clone(&app)));
-    let handing = Arc::clone(&app);
-    let server = api_server(api::api()?, app, settings.listen)?;
+    let server = api_server(api::api()?, Arc::clone(&app), settings.listen)?;
     node.until_drained().await?;
-    handing.hand_on().await;
+    app.hand_on().await;
     node.stop(server).await;
     Ok(())
 }
--- a/crates/trials/tests/programs.rs
+++ b/crates/trials/tests/programs.rs
@@ -157,3 +157,44 @@
     assert!(dump.contains("savanna") && !dump.contains(hash.as_str()), "{dump}");
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn logs_are_json_lines_and_metrics_are_statsd_datagrams() -> anyhow::Result<()> {
+    let collector = tokio::net::UdpSocket::bind("127.0.0.1:0").await?;
+    let statsd = format!("--statsd={}", collector.local_addr()?);
+    let trial = Trial::start().await?;
+    let _engine = trial.start_engine("renewals-1", trial.engine_spec("renewals")).await?;
+    let entry = trial.start_process("cassia-entry", "h1", "dc1", &[&statsd]).await?;
+    let revision = trial.publish(&savanna(), 0).await?;
+    trial.in_force(&entry, "savanna", revision).await?;
+    trial.sees(&entry, 1, 0).await?;
+    let gate = Caller::new(SAVANNA_KEY);
+    let body = json!({"prompt": "x", "max_tokens": 4});
+    gate.post(entry.listen, "/v1/savanna/quote", &[], &body).await;
+    let mut buf = [0; 1_024];
+    let patience = std::time::Duration::from_secs(20);
+    let count = tokio::time::timeout(patience, collector.recv(&mut buf)).await??;
+    let datagram = String::from_utf8_lossy(&buf[..count]).into_owned();
+    assert_eq!(datagram, "cassia.answered:1|c|#customer:savanna");
+
+    let log = trial.log.addr();
+    let mut child = program("cassia-entry")
+        .args(["--host=h9", "--data-centre=dc1", "--link=127.0.0.1:0", "--ops=127.0.0.1:0"])
+        .args(["--listen=127.0.0.1:0", "--list=127.0.0.1:1", &format!("--log={log}")])
+        .stderr(std::process::Stdio::piped())
+        .spawn()?;
+    tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+    child.kill()?;
+    let output = child.wait_with_output()?;
+    let lines: Vec<Value> = String::from_utf8_lossy(&output.stderr)
+        .lines()
+        .map(serde_json::from_str)
+        .collect::<Result<_, _>>()?;
+    let events: Vec<_> = lines.iter().map(|l| &l["attributes"]["event"]).collect();
+    assert!(events.contains(&&json!("started")), "{lines:?}");
+    assert!(events.contains(&&json!("list_unreachable")), "{lines:?}");
+    for line in &lines {
+        assert!(line["attributes"]["step"].is_string() && line["time"].is_string(), "{line}");
+    }
+    Ok(())
+}
--- a/crates/trials/tests/wrong_input.rs
+++ b/crates/trials/tests/wrong_input.rs
@@ -133,3 +133,27 @@
     assert_eq!(health.status, 200);
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crowd_of_slow_senders_harms_nobody() -> anyhow::Result<()> {
+    let setup = Setup::new().await?;
+    let mut crowd = Vec::new();
+    for _ in 0..300 {
+        let mut slow = TcpStream::connect(setup.entry.listen).await?;
+        let head = format!(
+            "POST {PATH} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {SAVANNA_KEY}\r\n\
+             content-length: 8000000\r\n\r\n{{"
+        );
+        slow.write_all(head.as_bytes()).await?;
+        crowd.push(slow);
+    }
+    for _ in 0..20 {
+        setup.others_are_served().await;
+    }
+    // Each of them is told after a while.
+    let mut answer = [0; 12];
+    let told = crowd.last_mut().expect("a sender").read_exact(&mut answer);
+    timeout(Duration::from_secs(20), told).await??;
+    assert_eq!(&answer, b"HTTP/1.1 400");
+    Ok(())
+}
