Say what a trial was waiting for when it gives up

Cause: one of three runs of all tests failed in a trial's set-up after 40 s, and the message did not say what was missing. 48 runs of that trial alone and 20 of its file passed.

Change: the state that was seen, and how the process ended, are in the message.

Conclusion: the cause is not found yet.

--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -133,13 +133,15 @@
     /// Waits until it has ended; none if it hasn't in time.
     pub async fn ended(&mut self, within: Duration) -> Option<ExitStatus> {
         let until = Instant::now() + within;
-        while Instant::now() < until {
+        loop {
             if let Ok(Some(status)) = self.child.try_wait() {
                 return Some(status);
             }
+            if Instant::now() >= until {
+                return None;
+            }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        None
     }
 
     /// Tells the process's number.
--- a/crates/trials/src/trial.rs
+++ b/crates/trials/src/trial.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use anyhow::bail;
 use anyhow::ensure;
 use cassia_contract::Contract;
 use cassia_platform::HttpPlatform;
@@ -184,11 +185,14 @@
             flags.retain(|f| !f.starts_with(name));
             flags.push((*flag).to_owned());
         }
-        let process = Process::start(name, host, data_centre, &flags)?;
+        let mut process = Process::start(name, host, data_centre, &flags)?;
         self.list.put_peer(process.link);
         let ops = process.ops;
         let up = eventually(|| async move { operator().get(ops, "/health").await.status == 200 });
-        ensure!(up.await, "{name} on {host} doesn't start");
+        if !up.await {
+            let ended = process.ended(Duration::ZERO).await;
+            bail!("{name} on {host} doesn't answer at {ops}; ended: {ended:?}");
+        }
         Ok(process)
     }
 
@@ -215,7 +219,10 @@
             let state = operator().get(ops, "/state").await.body;
             state["targets"]["count"] == targets && state["peers"]["count"] == peers
         });
-        ensure!(sees.await, "the process at {ops} doesn't see {targets} targets, {peers} peers");
+        if !sees.await {
+            let state = operator().get(ops, "/state").await.body;
+            bail!("not {targets} targets and {peers} peers: {state}");
+        }
         Ok(())
     }
 
