Try an engine that leaves with a request in flight

Cause: a leaving target was tried for new work only.

Change: a long request in flight at an engine that leaves is answered whole there, while the next ones go elsewhere.

--- a/crates/trials/tests/callers.rs
+++ b/crates/trials/tests/callers.rs
@@ -326,3 +326,27 @@
     assert_eq!((reply.status, reply.text("kind")), (400, "bad_request"));
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_runs_at_an_engine_that_leaves_is_answered_whole() -> anyhow::Result<()> {
+    let setup = Setup::new(0).await?;
+    let leaving = setup.engine("renewals-1").await?;
+    setup.trial.sees(&setup.entry, 1, 0).await?;
+    let (caller, listen) = (setup.caller.clone(), setup.entry.listen);
+    let long = json!({"prompt": "x", "max_tokens": 4_000});
+    let in_flight = tokio::spawn(async move { caller.post(listen, PATH, &[], &long).await });
+    assert!(eventually(|| async { leaving.served() == 1 }).await);
+    let _staying = setup.engine("renewals-2").await?;
+    setup.trial.list.leave("renewals-1");
+    let ops = setup.entry.ops;
+    let closed = eventually(|| async move {
+        let state = Caller::new("").get(ops, "/state").await.body;
+        state["targets"]["listed"][0]["id"] == "renewals-2"
+    });
+    assert!(closed.await);
+    assert_eq!(setup.quote(4).await.status, 200);
+    let reply = in_flight.await?;
+    assert_eq!((reply.status, reply.text("text")), (200, whole(4_000).as_str()));
+    assert_eq!(leaving.served(), 1, "new work, or the old one elsewhere");
+    Ok(())
+}
