--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,4 +1,4 @@
-//! Logs: one JSON object a line, to standard error.
+//! Logs: one JSON object a line, to standard output.
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -19,13 +19,13 @@
 ///
 /// Logging has been started already.
 pub fn start_logging() -> anyhow::Result<()> {
-    let stderr = ConsoleAppender::builder()
-        .target(Target::Stderr)
+    let stdout = ConsoleAppender::builder()
+        .target(Target::Stdout)
         .encoder(Box::new(JsonEncoder::new()))
         .build();
     let config = Config::builder()
-        .appender(Appender::builder().build("stderr", Box::new(stderr)))
-        .build(Root::builder().appender("stderr").build(LevelFilter::Info))?;
+        .appender(Appender::builder().build("stdout", Box::new(stdout)))
+        .build(Root::builder().appender("stdout").build(LevelFilter::Info))?;
     log4rs::init_config(config)?;
     Ok(())
 }
--- a/crates/platform/src/http_client.rs
+++ b/crates/platform/src/http_client.rs
@@ -86,7 +86,11 @@
     }
 
     /// Sends a request and waits for the head of an answer of any status.
-    async fn send_any(
+    ///
+    /// # Errors
+    ///
+    /// No answer came; names the step and the peer.
+    pub async fn send_any(
         &self,
         step: &'static str,
         peer: SocketAddr,
@@ -150,7 +154,12 @@
         self.read_body(step, peer, response, deadline).await
     }
 
-    async fn read_body(
+    /// Reads the whole body of an answer.
+    ///
+    /// # Errors
+    ///
+    /// It ended early, or not in time.
+    pub async fn read_body(
         &self,
         step: &'static str,
         peer: SocketAddr,
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -330,7 +330,13 @@
 
     /// Takes in that a request failed at a target, which is avoided for a
     /// while, and longer the more of them fail.
+    ///
+    /// Requests that fail while it is avoided already were sent before that,
+    /// and count no more.
     pub fn failed(&self, target: &Target, now: Instant) {
+        if self.millis(now) < target.avoided_until_ms.load(Ordering::Relaxed) {
+            return;
+        }
         let before = target.failures.fetch_add(1, Ordering::Relaxed);
         let until = now + FIRST_AVOIDED * (1 << before.min(MOST_DOUBLINGS));
         target.avoided_until_ms.fetch_max(self.millis(until), Ordering::Relaxed);
@@ -378,6 +384,41 @@
         target.avoided_until_ms.store(0, Ordering::Relaxed);
     }
 
+    /// Takes in that a target refused a request because it is full or busy:
+    /// it is avoided until then, without being in doubt.
+    pub fn busy(&self, target: &Target, until: Instant) {
+        target.avoided_until_ms.fetch_max(self.millis(until), Ordering::Relaxed);
+    }
+
+    /// Chooses a target with a free slot for work that can wait for one.
+    ///
+    /// `prefer` is taken if it has one: what shares a prompt goes where that
+    /// is kept. Else the least busy takes it. If every fit target is avoided,
+    /// one of those is tried, with one request at a time.
+    #[must_use]
+    pub fn with_free_slot(
+        &self,
+        kind: &TargetKind,
+        fit: impl Fn(&Target) -> bool,
+        prefer: Option<&str>,
+        rng: &mut impl Rng,
+        now: Instant,
+    ) -> Option<Arc<Target>> {
+        let now_ms = self.millis(now);
+        let all = self.of_kind(kind);
+        let fits = |t: &&Arc<Target>| t.is_open() && fit(t);
+        let score = |t: &Target| t.score(Competes::All, now_ms);
+        let is_free = |t: &&Arc<Target>| score(t) < SCORE_UNIT;
+        let good = || all.iter().filter(fits).filter(|t| !t.is_avoided(now_ms));
+        if good().next().is_none() {
+            let idle = |t: &Arc<Target>| fits(&t) && t.in_flight() == 0;
+            return any(all, idle, rng).cloned();
+        }
+        let preferred = good().filter(is_free).find(|t| prefer == Some(t.listed.id.as_str()));
+        let least = || good().filter(is_free).min_by_key(|t| (score(t), rng.random::<u32>()));
+        preferred.or_else(least).cloned()
+    }
+
     /// Chooses a target.
     #[must_use]
     pub fn choose(&self, wanted: &Wanted<'_>, rng: &mut impl Rng, now: Instant) -> Choice {
--- /dev/null
+++ b/crates/route/src/roster.rs
@@ -0,0 +1,168 @@
+//! Which targets there are, by the heartbeats that they write themselves.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_ids::DataCentre;
+use cassia_ids::ModelName;
+use cassia_ids::TargetId;
+use cassia_ids::Version;
+use smol_str::SmolStr;
+
+use crate::Listed;
+use crate::TargetKind;
+
+/// After the list was away, entries that lapsed meanwhile are written again
+/// within two seconds; until then a removal is not believed.
+const LAPSED_GRACE: Duration = Duration::from_millis(1_700);
+/// How long a removed target is remembered, so that an old heartbeat that is
+/// read again does not bring it back.
+const REMEMBERED: Duration = Duration::from_secs(120);
+
+/// What a target last wrote about itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Heartbeat {
+    /// Its name.
+    pub id: TargetId,
+    /// What it serves.
+    pub service: SmolStr,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is about to go.
+    pub leaving: bool,
+    /// When it started, in milliseconds of the time of day; tells its
+    /// incarnations apart.
+    pub started_ms: u64,
+    /// Counts its heartbeats since then.
+    pub seq: u64,
+    /// The weights that it has.
+    pub versions: Vec<(ModelName, Version)>,
+}
+
+#[derive(Clone, Debug)]
+enum Presence {
+    Here,
+    /// Its entry was removed; it counts as gone from this moment on.
+    GoneFrom(Instant),
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    beat: Heartbeat,
+    presence: Presence,
+}
+
+/// What a heartbeat changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing: the heartbeat is an old one, or says the same again.
+    Nothing,
+    /// Something that matters to the choice of a target.
+    Changed,
+}
+
+/// All targets, as their heartbeats in the order of the log leave them.
+///
+/// Invariant: an incarnation that was seen leaving is never open again, and a
+/// heartbeat that is older than the newest one seen changes nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    known: BTreeMap<TargetId, Entry>,
+    /// Until then removals may be lapses of live targets.
+    doubt_until: Option<Instant>,
+}
+
+impl Roster {
+    /// Takes a heartbeat in.
+    pub fn beat(&mut self, beat: Heartbeat) -> Change {
+        let Some(entry) = self.known.get_mut(&beat.id) else {
+            self.known.insert(beat.id.clone(), Entry { beat, presence: Presence::Here });
+            return Change::Changed;
+        };
+        let old = &entry.beat;
+        if (beat.started_ms, beat.seq) <= (old.started_ms, old.seq) {
+            return Change::Nothing;
+        }
+        let mut beat = beat;
+        beat.leaving |= old.leaving && old.started_ms == beat.started_ms;
+        let was_here = matches!(entry.presence, Presence::Here);
+        let same = Heartbeat { seq: old.seq, ..beat.clone() } == *old;
+        *entry = Entry { beat, presence: Presence::Here };
+        if was_here && same { Change::Nothing } else { Change::Changed }
+    }
+
+    /// Takes in that a target's entry was removed.
+    pub fn removed(&mut self, id: &str, now: Instant) -> Change {
+        let in_doubt = self.doubt_until.is_some_and(|until| now < until);
+        let Some(entry) = self.known.get_mut(id) else {
+            return Change::Nothing;
+        };
+        if matches!(entry.presence, Presence::GoneFrom(_)) {
+            return Change::Nothing;
+        }
+        let grace = if in_doubt { LAPSED_GRACE } else { Duration::ZERO };
+        entry.presence = Presence::GoneFrom(now + grace);
+        Change::Changed
+    }
+
+    /// Takes in that a whole new copy of the list holds just these.
+    pub fn only(&mut self, ids: &[TargetId], now: Instant) -> Change {
+        let missing: Vec<_> = self.known.keys().filter(|id| !ids.contains(id)).cloned().collect();
+        let changes = missing.iter().map(|id| self.removed(id, now));
+        if changes.filter(|c| *c == Change::Changed).count() > 0 {
+            return Change::Changed;
+        }
+        Change::Nothing
+    }
+
+    /// Takes in that the list is back after it could not be reached.
+    pub fn list_is_back(&mut self, now: Instant) {
+        self.doubt_until = Some(now + LAPSED_GRACE);
+    }
+
+    /// Forgets what has been gone for long.
+    pub fn forget_old(&mut self, now: Instant) {
+        self.known.retain(|_, entry| match entry.presence {
+            Presence::Here => true,
+            Presence::GoneFrom(since) => now < since + REMEMBERED,
+        });
+    }
+
+    /// Lists the heartbeats of all targets that are not gone at this moment.
+    pub fn here(&self, now: Instant) -> impl Iterator<Item = &Heartbeat> {
+        let is_here = move |entry: &&Entry| match entry.presence {
+            Presence::Here => true,
+            Presence::GoneFrom(since) => now < since,
+        };
+        self.known.values().filter(is_here).map(|entry| &entry.beat)
+    }
+
+    /// Says whether some target goes at a moment that is yet to come.
+    #[must_use]
+    pub fn has_lapses(&self, now: Instant) -> bool {
+        let lapses = |e: &Entry| matches!(e.presence, Presence::GoneFrom(since) if now < since);
+        self.known.values().any(lapses)
+    }
+
+    /// Lists the targets in the form that the choice of a target takes.
+    #[must_use]
+    pub fn listed(&self, now: Instant) -> Vec<Listed> {
+        let listed = |beat: &Heartbeat| Listed {
+            id: beat.id.clone(),
+            addr: beat.addr,
+            data_centre: beat.data_centre.clone(),
+            what: TargetKind::Service { name: beat.service.clone() },
+            incarnation: beat.started_ms,
+            leaving: beat.leaving,
+            slots: beat.slots,
+            checks_fence: false,
+        };
+        self.here(now).map(listed).collect()
+    }
+}
--- /dev/null
+++ b/crates/serve/src/app.rs
@@ -0,0 +1,37 @@
+//! What the parts of the program work on.
+
+use std::sync::Arc;
+
+use cassia_platform::HttpClient;
+use cassia_platform::Store;
+
+use crate::board::Board;
+use crate::clock::BootClock;
+use crate::clock::Clock;
+use crate::flags::ServeSettings;
+use crate::shelf::Shelf;
+
+/// The blackboard and the ways to the outside.
+#[derive(Debug)]
+pub(crate) struct App {
+    pub(crate) board: Board,
+    pub(crate) store: Arc<dyn Store>,
+    /// The way to targets.
+    pub(crate) client: HttpClient,
+    pub(crate) clock: Box<dyn Clock>,
+    pub(crate) shelf: Shelf,
+    pub(crate) settings: ServeSettings,
+}
+
+impl App {
+    pub(crate) fn new(settings: &ServeSettings, store: Arc<dyn Store>) -> Self {
+        Self {
+            board: Board::new(settings),
+            shelf: Shelf::new(Arc::clone(&store), settings.store_parts),
+            store,
+            client: HttpClient::default(),
+            clock: Box::new(BootClock::new()),
+            settings: settings.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/serve/src/call.rs
@@ -0,0 +1,338 @@
+//! Requests whose answer is passed on whole.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use cassia_adapter::CallHead;
+use cassia_adapter::RunHead;
+use cassia_adapter::end_to_end;
+use cassia_adapter::read_run;
+use cassia_adapter::target_request;
+use cassia_ids::RequestId;
+use cassia_ids::TargetId;
+use cassia_platform::ErrorKind;
+use cassia_platform::PlatformError;
+use cassia_route::Choice;
+use cassia_route::Route;
+use cassia_route::RouteKind;
+use cassia_route::TargetKind;
+use cassia_route::Use;
+use cassia_route::Wanted;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use http::HeaderMap;
+use http::Method;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use hyper::body::Incoming;
+use smol_str::SmolStr;
+use tokio::time::sleep_until;
+
+use crate::app::App;
+use crate::reply::Body;
+use crate::reply::Refusal;
+use crate::reply::whole;
+
+/// A second target is tried when the first has not answered after this part
+/// of the time within which an answer is of full use.
+const SECOND_TRY_AFTER_PERCENT: u32 = 55;
+/// Refusals by full targets that a request may meet beyond its attempts.
+const MOST_REFUSALS: u32 = 3;
+/// Pause after a target refused a request because it is full.
+const REFUSED_PAUSE: Duration = Duration::from_millis(15);
+
+/// A request that is passed on.
+#[derive(Clone, Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// What one target did with a request.
+#[derive(Debug)]
+pub(crate) enum Ended {
+    /// It answered; the answer is whole.
+    Answer(Response<Bytes>, RunHead),
+    /// It did not run the request, by its own word or for want of a connection.
+    NotRun,
+    /// It may have run the request.
+    Unknown,
+}
+
+/// What became of a request over all its targets.
+#[derive(Debug)]
+pub(crate) enum Outcome {
+    /// A target's answer.
+    Answer(Response<Bytes>, RunHead),
+    /// Targets ran it and failed, so many times; the last one's answer.
+    Failed(Response<Bytes>, u32),
+    /// No answer.
+    Refused(Refusal),
+}
+
+/// A request that is being passed on.
+#[derive(Debug)]
+pub(crate) struct Call<'a> {
+    pub(crate) app: &'a App,
+    pub(crate) id: &'a RequestId,
+    pub(crate) route: &'a Route,
+    pub(crate) service: SmolStr,
+    pub(crate) out: Outgoing,
+    pub(crate) deadline: Instant,
+    /// Until when the caller waits, if that is longer.
+    pub(crate) patience_ends: Instant,
+}
+
+/// Answers a caller's request whole.
+pub(crate) async fn answer(
+    app: &Arc<App>,
+    head: &CallHead,
+    route: &Route,
+    out: Outgoing,
+) -> Response<Body> {
+    let Some(service) = route.service(rand::random()).cloned() else {
+        return Refusal::NoTarget.answer("choose");
+    };
+    let now = Instant::now();
+    let patience = head.patience.unwrap_or_else(|| route.timeout());
+    let deadline = now + patience.min(route.timeout());
+    let patience_ends = now + patience;
+    let call = Call { app, id: &head.id, route, service, out, deadline, patience_ends };
+    let outcome = match route.kind {
+        RouteKind::Idempotent => call.repeatable().await,
+        _ => call.at_most_once().await,
+    };
+    match outcome {
+        Outcome::Answer(answer, _) | Outcome::Failed(answer, _) => pass_on(answer),
+        Outcome::Refused(refusal) => {
+            let (id, route) = (head.id.as_str(), route.name.as_str());
+            let (kind, took_ms) = (format!("{refusal:?}"), millis(now.elapsed()));
+            log::info!(event = "request_refused", step = "call", id, route, kind, took_ms; "refused");
+            refusal.answer("call")
+        }
+    }
+}
+
+/// Turns a target's answer into the caller's: the same, but for the headers
+/// that concern one connection.
+fn pass_on(answer: Response<Bytes>) -> Response<Body> {
+    let (parts, body) = answer.into_parts();
+    let mut passed = Response::new(whole(body));
+    *passed.status_mut() = parts.status;
+    *passed.headers_mut() = end_to_end(&parts.headers);
+    passed
+}
+
+impl Call<'_> {
+    /// Sends the request until one target has answered with success; a second
+    /// target is tried while a slow one is still waited for.
+    pub(crate) async fn repeatable(&self) -> Outcome {
+        let mut running = FuturesUnordered::new();
+        let mut tally = Tally::default();
+        loop {
+            if running.is_empty() || tally.wants_more {
+                tally.wants_more = false;
+                if let Some(target) = self.next_target(&mut tally) {
+                    running.push(self.send(target));
+                }
+            }
+            if running.is_empty() {
+                return tally.give_up();
+            }
+            let second = Instant::now() + self.route_goal() * SECOND_TRY_AFTER_PERCENT / 100;
+            tokio::select! {
+                Some(ended) = running.next() => {
+                    if let Some(outcome) = tally.take(ended) {
+                        return outcome;
+                    }
+                    if tally.last_not_run {
+                        tokio::time::sleep(REFUSED_PAUSE).await;
+                    }
+                    tally.wants_more = true;
+                }
+                () = sleep_until(second.into()), if tally.sent < self.route.max_attempts => {
+                    tally.wants_more = true;
+                }
+                () = sleep_until(self.deadline.into()) => return tally.too_late(),
+            }
+        }
+    }
+
+    /// Sends the request to one target after the other, as long as it is known
+    /// that the one before did not run it.
+    async fn at_most_once(&self) -> Outcome {
+        let mut tally = Tally::default();
+        while let Some(target) = self.next_target(&mut tally) {
+            let ended = tokio::time::timeout_at(self.deadline.into(), self.send(target)).await;
+            match ended {
+                Ok(Ended::Answer(answer, head)) => return Outcome::Answer(answer, head),
+                Ok(Ended::NotRun) => {
+                    tally.sent = tally.sent.saturating_sub(1);
+                    tally.refusals += 1;
+                    tokio::time::sleep(REFUSED_PAUSE).await;
+                }
+                Ok(Ended::Unknown) => return Outcome::Refused(Refusal::Lost),
+                Err(_) => return Outcome::Refused(Refusal::TooLate),
+            }
+        }
+        tally.give_up()
+    }
+
+    fn route_goal(&self) -> Duration {
+        Duration::from_millis(self.route.goal_ms.max(20))
+    }
+
+    /// Chooses the next target; none if no attempt is left or none is open.
+    fn next_target(&self, tally: &mut Tally) -> Option<Use> {
+        if tally.sent >= self.route.max_attempts || tally.refusals > MOST_REFUSALS {
+            return None;
+        }
+        let kind = TargetKind::Service { name: self.service.clone() };
+        let targets = self.app.board.targets.load();
+        let mut wanted = Wanted::of(&kind);
+        wanted.not = tally.last_target.as_deref();
+        let Choice::Target(target) = targets.choose(&wanted, &mut rand::rng(), Instant::now())
+        else {
+            return None;
+        };
+        let counted = target.begin()?;
+        tally.last_target = Some(target.listed.id.clone());
+        tally.sent += 1;
+        Some(counted)
+    }
+
+    /// Sends the request to one target and reads its whole answer.
+    async fn send(&self, target: Use) -> Ended {
+        let listed = &target.target().listed;
+        let patience = self.patience_ends.saturating_duration_since(Instant::now());
+        let out = &self.out;
+        let request = target_request(
+            listed.addr,
+            &listed.id,
+            &out.method,
+            &out.uri,
+            &out.headers,
+            out.body.clone(),
+            patience,
+        );
+        let Ok(request) = request else {
+            return Ended::NotRun;
+        };
+        let client = &self.app.client;
+        match client.send_any("call", listed.addr, request, self.deadline).await {
+            Ok(answer) => self.judge(&target, answer).await,
+            Err(e) => self.failed(&target, &e),
+        }
+    }
+
+    async fn judge(&self, target: &Use, answer: Response<Incoming>) -> Ended {
+        let listed = &target.target().listed;
+        let head = read_run(answer.status(), answer.headers());
+        if head.id.as_ref().is_some_and(|id| id != self.id) {
+            // The late answer to another request: the connection is done for.
+            self.app.client.forget(listed.addr);
+            log::warn!(event = "foreign_answer", step = "call", id = self.id.as_str(), target = listed.id.as_str(); "dropped");
+            return Ended::Unknown;
+        }
+        note_load(self.app, target, &head);
+        if head.not_run {
+            return Ended::NotRun;
+        }
+        match self.app.client.read_body("call", listed.addr, answer, self.deadline).await {
+            Ok(answer) => {
+                self.app.board.targets.load().succeeded(target.target());
+                Ended::Answer(answer, head)
+            }
+            Err(e) => self.failed(target, &e),
+        }
+    }
+
+    fn failed(&self, target: &Use, e: &PlatformError) -> Ended {
+        let listed = &target.target().listed;
+        self.app.board.targets.load().failed(target.target(), Instant::now());
+        let (id, peer) = (self.id.as_str(), listed.id.as_str());
+        log::info!(event = "attempt_failed", step = e.step, id, peer; "{e}");
+        if e.kind == ErrorKind::Connect { Ended::NotRun } else { Ended::Unknown }
+    }
+}
+
+/// Takes in what a target's answer says of its load.
+pub(crate) fn note_load(app: &App, target: &Use, head: &RunHead) {
+    let targets = app.board.targets.load();
+    if let Some(load) = head.load {
+        targets.reported(target.target(), load, load, Duration::ZERO, Instant::now());
+    }
+    if head.other_target {
+        targets.failed(target.target(), Instant::now());
+    }
+}
+
+/// What the targets of one request did so far.
+#[derive(Debug, Default)]
+struct Tally {
+    sent: u32,
+    refusals: u32,
+    may_have_run: bool,
+    wants_more: bool,
+    last_not_run: bool,
+    last_target: Option<TargetId>,
+    /// A target's own failure, passed on if nothing better comes.
+    failure: Option<Response<Bytes>>,
+    failures: u32,
+}
+
+impl Tally {
+    /// Takes in how one target ended; gives the outcome if that decides it.
+    fn take(&mut self, ended: Ended) -> Option<Outcome> {
+        self.last_not_run = matches!(ended, Ended::NotRun);
+        match ended {
+            Ended::Answer(answer, head) if !is_own_failure(answer.status()) => {
+                Some(Outcome::Answer(answer, head))
+            }
+            Ended::Answer(answer, _) => {
+                self.may_have_run = true;
+                self.failures += 1;
+                self.failure = Some(answer);
+                None
+            }
+            Ended::NotRun => {
+                self.sent = self.sent.saturating_sub(1);
+                self.refusals += 1;
+                None
+            }
+            Ended::Unknown => {
+                self.may_have_run = true;
+                None
+            }
+        }
+    }
+
+    fn give_up(self) -> Outcome {
+        match self.failure {
+            Some(answer) => Outcome::Failed(answer, self.failures),
+            None if self.may_have_run => Outcome::Refused(Refusal::Lost),
+            None => Outcome::Refused(Refusal::NoTarget),
+        }
+    }
+
+    fn too_late(self) -> Outcome {
+        match self.failure {
+            Some(answer) => Outcome::Failed(answer, self.failures),
+            None => Outcome::Refused(Refusal::TooLate),
+        }
+    }
+}
+
+/// Whether another target may do better.
+fn is_own_failure(status: StatusCode) -> bool {
+    status.is_server_error()
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/serve/src/generate.rs
@@ -0,0 +1,186 @@
+//! One run of an item at one engine.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_adapter::RunHead;
+use cassia_adapter::VERSION_FIELD;
+use cassia_adapter::item_request;
+use cassia_adapter::read_run;
+use cassia_ids::ModelName;
+use cassia_jobs::EventParser;
+use cassia_jobs::Item;
+use cassia_jobs::ItemText;
+use cassia_jobs::TextError;
+use cassia_platform::ErrorKind;
+use cassia_route::Use;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::call::note_load;
+
+/// What the engine is told how long the item may take.
+const ITEM_PATIENCE: Duration = Duration::from_secs(20);
+/// Without another event for this long the run goes on elsewhere.
+const EVENT_GAP: Duration = Duration::from_millis(2_500);
+/// How long an engine that refused an item is left alone.
+const REFUSED_PAUSE: Duration = Duration::from_millis(150);
+/// The rank of items at engines: behind what callers wait for.
+const PRIORITY: u8 = 5;
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Generated {
+    /// The text is whole.
+    Whole,
+    /// The engine ran it and failed.
+    Failed,
+    /// The item can never be done.
+    Impossible,
+    /// The engine did not run it.
+    Refused,
+    /// The run broke off; what came before it stands.
+    BrokeOff,
+    /// What came does not fit the text so far, which must begin anew.
+    Misfit,
+}
+
+/// Where and what to generate.
+#[derive(Debug)]
+pub(crate) struct Run<'a> {
+    pub(crate) app: &'a App,
+    pub(crate) host: &'a str,
+    pub(crate) model: &'a ModelName,
+    pub(crate) item: &'a Item,
+    pub(crate) engine: &'a Use,
+}
+
+impl Run<'_> {
+    /// Generates from where the text stands.
+    pub(crate) async fn generate(&self, text: &mut ItemText) -> Generated {
+        let listed = &self.engine.target().listed;
+        let (addr, id) = (listed.addr, listed.id.as_str());
+        let after = text.last();
+        let request = item_request(addr, id, self.host, self.item, after, PRIORITY, ITEM_PATIENCE);
+        let request = match request {
+            Ok(request) => request,
+            Err(e) => {
+                log::warn!(event = "item_impossible", step = "generate", id = self.item.id.as_str(); "{e}");
+                return Generated::Impossible;
+            }
+        };
+        let deadline = Instant::now() + EVENT_GAP;
+        match self.app.client.send_any("generate", addr, request, deadline).await {
+            Ok(answer) => self.take(answer, text).await,
+            Err(e) => {
+                self.blame(&e.to_string());
+                if e.kind == ErrorKind::Connect { Generated::Refused } else { Generated::BrokeOff }
+            }
+        }
+    }
+
+    async fn take(&self, answer: Response<Incoming>, text: &mut ItemText) -> Generated {
+        let head = read_run(answer.status(), answer.headers());
+        if head.id.as_ref().is_some_and(|id| *id != self.item.id) {
+            self.app.client.forget(self.engine.target().listed.addr);
+            self.blame("the answer to another request");
+            return Generated::BrokeOff;
+        }
+        note_load(self.app, self.engine, &head);
+        self.learn_version(&head);
+        match answer.status() {
+            _ if head.not_run => {
+                let until = Instant::now() + REFUSED_PAUSE;
+                self.app.board.targets.load().busy(self.engine.target(), until);
+                Generated::Refused
+            }
+            status if status.is_success() => self.read(answer.into_body(), &head, text).await,
+            StatusCode::UNPROCESSABLE_ENTITY => Generated::Impossible,
+            StatusCode::INTERNAL_SERVER_ERROR => Generated::Failed,
+            status => {
+                self.blame(status.as_str());
+                Generated::BrokeOff
+            }
+        }
+    }
+
+    async fn read(&self, mut body: Incoming, head: &RunHead, text: &mut ItemText) -> Generated {
+        if let Err(e) = text.begin_run(head.version) {
+            return self.misfit(e);
+        }
+        let begun = Instant::now();
+        let mut events = 0;
+        let mut parser = EventParser::new(VERSION_FIELD);
+        loop {
+            let bytes = match timeout(EVENT_GAP, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(None) if parser.finish().is_ok() && text.last().is_some() => {
+                    self.app.board.targets.load().succeeded(self.engine.target());
+                    self.note_pace(events, begun);
+                    return Generated::Whole;
+                }
+                Ok(None) => return self.broke_off("ended within an event"),
+                Ok(Some(Err(e))) => return self.broke_off(&e.to_string()),
+                Err(_) => return self.broke_off("silent"),
+            };
+            parser.push(&bytes);
+            loop {
+                match parser.next_event() {
+                    Ok(Some(event)) => {
+                        events += 1;
+                        if let Err(e) = text.push(&event) {
+                            return self.misfit(e);
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(e) => return self.broke_off(&e.to_string()),
+                }
+            }
+        }
+    }
+
+    fn learn_version(&self, head: &RunHead) {
+        let listed = &self.engine.target().listed;
+        if let Some(version) = head.version {
+            self.app.board.learn_version(&listed.id, listed.incarnation, self.model, version);
+        }
+    }
+
+    fn note_pace(&self, events: u32, begun: Instant) {
+        let now = Instant::now();
+        let took = now.saturating_duration_since(begun);
+        self.app.board.targets.load().paced(self.engine.target(), events, took, now);
+    }
+
+    fn broke_off(&self, why: &str) -> Generated {
+        self.blame(why);
+        Generated::BrokeOff
+    }
+
+    /// A version that isn't allowed says nothing against the engine.
+    fn misfit(&self, e: TextError) -> Generated {
+        log::info!(event = "run_misfit", step = "generate", id = self.item.id.as_str(), peer = self.engine.target().listed.id.as_str(); "{e}");
+        match e {
+            TextError::TooOld { .. } => {
+                let until = Instant::now() + REFUSED_PAUSE;
+                self.app.board.targets.load().busy(self.engine.target(), until);
+                Generated::Refused
+            }
+            TextError::Mixed { .. }
+            | TextError::NoNumber { .. }
+            | TextError::NoVersion(_)
+            | TextError::OutOfOrder { .. } => Generated::Misfit,
+        }
+    }
+
+    fn blame(&self, why: &str) {
+        let target = self.engine.target();
+        self.app.board.targets.load().failed(target, Instant::now());
+        let (id, peer) = (self.item.id.as_str(), target.listed.id.as_str());
+        log::info!(event = "run_broke_off", step = "generate", id, peer; "{why}");
+    }
+}
--- /dev/null
+++ b/crates/serve/src/item.rs
@@ -0,0 +1,316 @@
+//! Runs the items of one batch job.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_adapter::reward_request;
+use cassia_ids::ModelName;
+use cassia_ids::TargetId;
+use cassia_jobs::Attempts;
+use cassia_jobs::Item;
+use cassia_jobs::ItemResult;
+use cassia_jobs::ItemText;
+use cassia_jobs::Job;
+use cassia_jobs::NextStep;
+use cassia_jobs::Reward;
+use cassia_jobs::Submission;
+use cassia_route::Route;
+use cassia_route::Target;
+use cassia_route::TargetKind;
+use cassia_route::Use;
+use http::Method;
+use smol_str::SmolStr;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::call::Call;
+use crate::call::Outcome;
+use crate::call::Outgoing;
+use crate::clock::wall_ms;
+use crate::generate::Generated;
+use crate::generate::Run;
+
+/// How long to wait for news of a free slot before looking again.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+/// Pause while an item or its reward call has no route.
+const ROUTE_PAUSE: Duration = Duration::from_millis(300);
+/// Beyond the time that an item is kept: hosts' times of day differ.
+const CLOCK_SLACK_MS: u64 = 6_000;
+
+/// One job that is being run.
+#[derive(Debug)]
+pub(crate) struct JobRun {
+    cx: Arc<JobCx>,
+    pending: VecDeque<u32>,
+    /// The engine that the last item of a group went to.
+    homes: HashMap<String, TargetId>,
+}
+
+/// What all items of a job share.
+#[derive(Debug)]
+struct JobCx {
+    app: Arc<App>,
+    partition: u32,
+    job: Submission,
+    model: ModelName,
+    tx: mpsc::UnboundedSender<ItemResult>,
+}
+
+/// An engine's slot; others are told when it is free again.
+#[derive(Debug)]
+struct Slot {
+    app: Arc<App>,
+    engine: Option<Use>,
+}
+
+impl Slot {
+    fn new(app: Arc<App>, engine: Use) -> Self {
+        Self { app, engine: Some(engine) }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        // The slot counts as used until its part is dropped.
+        self.engine = None;
+        self.app.board.slot_freed.notify_waiters();
+    }
+}
+
+impl JobRun {
+    /// Prepares the run of what isn't listed yet.
+    pub(crate) fn new(
+        app: Arc<App>,
+        partition: u32,
+        submission: Submission,
+        job: &Job,
+        tx: mpsc::UnboundedSender<ItemResult>,
+    ) -> Self {
+        let items = u32::try_from(submission.items.len()).unwrap_or(u32::MAX);
+        let pending = (0..items).filter(|index| !job.is_listed(*index)).collect();
+        let model = SmolStr::new(&submission.model);
+        let cx = Arc::new(JobCx { app, partition, job: submission, model, tx });
+        Self { cx, pending, homes: HashMap::new() }
+    }
+
+    /// Runs the items in their order, as slots become free. Once the partition
+    /// is another process's, what has begun goes on and nothing else begins.
+    pub(crate) async fn run(mut self) {
+        let mut running = JoinSet::new();
+        while let Some(index) = self.pending.pop_front() {
+            let group = self.cx.job.items[index as usize].group.clone();
+            let home = self.homes.get(&group).cloned();
+            let Some(slot) = self.cx.slot(index, home.as_deref()).await else {
+                break;
+            };
+            if let Some(engine) = &slot.engine {
+                self.homes.insert(group, engine.target().listed.id.clone());
+            }
+            running.spawn(Arc::clone(&self.cx).run_item(index, slot));
+        }
+        while let Some(ended) = running.join_next().await {
+            if let Err(e) = ended {
+                log::warn!(event = "item_failed", step = "run", id = self.cx.job.id.as_str(); "{e}");
+            }
+        }
+    }
+}
+
+impl JobCx {
+    fn item(&self, index: u32) -> &Item {
+        &self.job.items[index as usize]
+    }
+
+    fn is_owned(&self) -> bool {
+        self.app.board.owned.borrow().contains(&self.partition)
+    }
+
+    /// Whether the item may be given up because it was kept long enough.
+    fn is_overdue(&self, route: &Route) -> bool {
+        route.job.keep_ms > 0
+            && wall_ms() > self.job.accepted_ms + route.job.keep_ms + CLOCK_SLACK_MS
+    }
+
+    fn route(&self, host: &str, path: &str) -> Option<Arc<Route>> {
+        self.app.board.routes.load().as_ref()?.find(host, path).cloned()
+    }
+
+    /// Waits for a slot at an engine that may run the item; none once the job
+    /// is no longer this process's.
+    async fn slot(&self, index: u32, home: Option<&str>) -> Option<Slot> {
+        loop {
+            if !self.is_owned() {
+                return None;
+            }
+            let freed = self.app.board.slot_freed.notified();
+            let mut freed = std::pin::pin!(freed);
+            freed.as_mut().enable();
+            if let Some(engine) = self.free_engine(index, home) {
+                return Some(Slot::new(Arc::clone(&self.app), engine));
+            }
+            let _ = timeout(LOOK_AGAIN, freed).await;
+        }
+    }
+
+    fn free_engine(&self, index: u32, home: Option<&str>) -> Option<Use> {
+        let route = self.route(&self.job.host, &self.item(index).path)?;
+        let kind = TargetKind::Service { name: route.service(rand::random())?.clone() };
+        let board = &self.app.board;
+        let fit = |target: &Target| {
+            let version = board.version_of(&target.listed.id, &self.model);
+            version.unwrap_or(0) >= self.job.min_version
+        };
+        let now = Instant::now();
+        let targets = board.targets.load();
+        targets.with_free_slot(&kind, fit, home, &mut rand::rng(), now)?.begin()
+    }
+
+    async fn run_item(self: Arc<Self>, index: u32, slot: Slot) {
+        let Some(result) = self.result(index, slot).await else {
+            return;
+        };
+        let (id, job, completed) = (result.item.as_str(), result.job.as_str(), result.completed);
+        log::info!(event = "item_done", step = "run", id, job, completed; "done");
+        // Nobody takes it when the process ends: then it is run again.
+        let _ = self.tx.send(result);
+    }
+
+    /// Works an item's result out; none if another process is to do it.
+    async fn result(&self, index: u32, slot: Slot) -> Option<ItemResult> {
+        let item = self.item(index);
+        let Some((text, versions)) = self.text(index, slot).await? else {
+            return Some(self.errored(index));
+        };
+        let score = match &item.reward {
+            None => String::new(),
+            Some(reward) => match self.score(reward).await {
+                Some(score) => score.into(),
+                None => return Some(self.errored(index)),
+            },
+        };
+        Some(ItemResult {
+            job: self.job.id.clone(),
+            index,
+            item: item.id.clone(),
+            completed: true,
+            text,
+            versions,
+            score,
+        })
+    }
+
+    fn errored(&self, index: u32) -> ItemResult {
+        ItemResult {
+            job: self.job.id.clone(),
+            index,
+            item: self.item(index).id.clone(),
+            ..ItemResult::default()
+        }
+    }
+
+    /// Generates an item's text; inside, none if the item is given up.
+    async fn text(&self, index: u32, slot: Slot) -> Option<Option<(String, Vec<u64>)>> {
+        let item = self.item(index);
+        let mut attempts = Attempts::default();
+        let mut next = Some(slot);
+        let mut text: Option<ItemText> = None;
+        loop {
+            let Some(route) = self.route(&self.job.host, &item.path) else {
+                sleep(ROUTE_PAUSE).await;
+                continue;
+            };
+            if self.is_overdue(&route) {
+                return Some(None);
+            }
+            let slot = match next.take() {
+                Some(slot) => slot,
+                None => self.slot(index, None).await?,
+            };
+            let engine = slot.engine.as_ref()?;
+            let fresh = || ItemText::new(self.job.min_version, route.job.single_version);
+            let so_far = text.get_or_insert_with(fresh);
+            let host = &self.job.host;
+            let run = Run { app: &self.app, host, model: &self.model, item, engine };
+            let generated = run.generate(so_far).await;
+            drop(slot);
+            match generated {
+                Generated::Whole => return Some(text.map(ItemText::finish)),
+                Generated::Impossible => return Some(None),
+                Generated::Failed => {
+                    if attempts.failed(route.max_attempts) == NextStep::GiveUp {
+                        return Some(None);
+                    }
+                }
+                Generated::Misfit => {
+                    text = None;
+                    attempts.broke_off();
+                }
+                Generated::Refused | Generated::BrokeOff => attempts.broke_off(),
+            }
+            sleep(Duration::from_millis(attempts.pause_ms())).await;
+        }
+    }
+
+    /// Has a text scored; none if the scorer fails for good.
+    async fn score(&self, reward: &Reward) -> Option<SmolStr> {
+        let mut attempts = Attempts::default();
+        loop {
+            let Some(route) = self.route(&reward.host, &reward.path) else {
+                sleep(ROUTE_PAUSE).await;
+                continue;
+            };
+            match self.call(reward, &route).await? {
+                Outcome::Answer(answer, head) if answer.status().is_success() => {
+                    if let Some(score) = head.signature {
+                        return Some(score);
+                    }
+                    attempts.broke_off();
+                }
+                Outcome::Failed(_, failures) => {
+                    for _ in 0..failures {
+                        if attempts.failed(route.max_attempts) == NextStep::GiveUp {
+                            return None;
+                        }
+                    }
+                }
+                Outcome::Answer(..) => {
+                    if attempts.failed(route.max_attempts) == NextStep::GiveUp {
+                        return None;
+                    }
+                }
+                Outcome::Refused(_) => attempts.broke_off(),
+            }
+            sleep(Duration::from_millis(attempts.pause_ms())).await;
+        }
+    }
+
+    async fn call(&self, reward: &Reward, route: &Route) -> Option<Outcome> {
+        let (uri, headers) = match reward_request(reward) {
+            Ok(request) => request,
+            Err(e) => {
+                log::warn!(event = "reward_impossible", step = "score", id = reward.id.as_str(); "{e}");
+                return None;
+            }
+        };
+        let service = route.service(rand::random())?.clone();
+        let deadline = Instant::now() + route.timeout();
+        let id = SmolStr::new(&reward.id);
+        let out = Outgoing { method: Method::POST, uri, headers, body: reward.body.clone() };
+        let call = Call {
+            app: &self.app,
+            id: &id,
+            route,
+            service,
+            out,
+            deadline,
+            patience_ends: deadline,
+        };
+        Some(call.repeatable().await)
+    }
+}
--- /dev/null
+++ b/crates/serve/src/main.rs
@@ -0,0 +1,66 @@
+//! The program that serves callers and trainers on the platform.
+
+mod app;
+mod board;
+mod call;
+mod clock;
+mod config;
+mod flags;
+mod generate;
+mod ingress;
+mod item;
+mod job_calls;
+mod owner;
+mod reply;
+mod runner;
+mod shelf;
+mod stream;
+mod submit;
+mod targets;
+mod weights;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use bpaf::Parser;
+use cassia_adapter::HttpStore;
+use cassia_node::HELP_HEADER;
+use cassia_node::run_program;
+use cassia_node::start_logging;
+use tokio::runtime::Builder;
+
+use crate::app::App;
+use crate::flags::ServeSettings;
+use crate::flags::serve_flags;
+
+const SUMMARY: &str = "Serves callers' requests and trainers' batch jobs on the platform.";
+const NAME: &str = "cassia-serve";
+
+fn main() -> ExitCode {
+    let flags = serve_flags().to_options().descr(SUMMARY).header(HELP_HEADER).run();
+    run_program(NAME, flags.check(), |settings| settings.check_only, start)
+}
+
+/// A host has one core for this process: more threads would only take turns.
+fn start(settings: ServeSettings) -> anyhow::Result<()> {
+    start_logging()?;
+    Builder::new_current_thread().enable_all().build()?.block_on(run(settings))
+}
+
+async fn run(settings: ServeSettings) -> anyhow::Result<()> {
+    let store = Arc::new(HttpStore::new(settings.store));
+    let app = Arc::new(App::new(&settings, store));
+    log::info!(event = "started", step = "start", host = settings.host.as_str(); "started");
+    let serving = ingress::start(&settings, &app).await?;
+    tokio::spawn(config::run(Arc::clone(&app)));
+    tokio::spawn(targets::run(Arc::clone(&app)));
+    let owner = tokio::spawn(owner::run(Arc::clone(&app)));
+    let weights = tokio::spawn(weights::run(Arc::clone(&app)));
+    ingress::until_stop(&app).await?;
+    serving.stop(settings.stop_limit()).await;
+    for task in [owner, weights] {
+        task.await?;
+    }
+    log::info!(event = "stopped", step = "stop"; "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/serve/src/runner.rs
@@ -0,0 +1,151 @@
+//! Runs the batch jobs of one partition, as long as it is this process's.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use cassia_jobs::ItemResult;
+use cassia_jobs::JobId;
+use cassia_platform::StoreErrorKind;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::app::App;
+use crate::item::JobRun;
+
+/// How long a read waits for news.
+const LONG_POLL: Duration = Duration::from_millis(1_000);
+const PATIENCE: Duration = Duration::from_millis(600);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// How long a job's records may take to be read.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long results are gathered into one append.
+const GATHER: Duration = Duration::from_millis(4);
+/// Bytes of results that one append takes.
+const MOST_APPENDED: usize = 512 << 10;
+const APPEND_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// A job that this process runs.
+#[derive(Debug)]
+struct Running {
+    task: JoinHandle<()>,
+}
+
+/// Runs the jobs of a partition until it is no longer this process's and what
+/// had begun is over.
+pub(crate) async fn run(app: Arc<App>, partition: u32) {
+    let (tx, rx) = mpsc::unbounded_channel();
+    let lister = tokio::spawn(list(Arc::clone(&app), partition, rx));
+    let mut jobs: HashMap<JobId, Running> = HashMap::new();
+    while is_owned(&app, partition) || jobs.values().any(|job| !job.task.is_finished()) {
+        let deadline = Instant::now() + LONG_POLL + PATIENCE;
+        let read = app.shelf.read_on(partition, LONG_POLL, deadline);
+        let read = tokio::select! {
+            read = read => read,
+            // What runs is over before the next news: nothing holds this.
+            () = until_lost(&app, partition), if jobs.is_empty() => continue,
+        };
+        if let Err(e) = read {
+            log::debug!(event = "store_away", step = e.step, partition; "{e}");
+            sleep(RETRY_PAUSE).await;
+        }
+        end_jobs(&app, partition, &mut jobs);
+        if is_owned(&app, partition) {
+            begin_jobs(&app, partition, &mut jobs, &tx).await;
+        }
+    }
+    drop(tx);
+    if let Err(e) = lister.await {
+        log::warn!(event = "lister_failed", step = "list", partition; "{e}");
+    }
+}
+
+fn is_owned(app: &App, partition: u32) -> bool {
+    app.board.owned.borrow().contains(&partition)
+}
+
+async fn until_lost(app: &App, partition: u32) {
+    let mut owned = app.board.owned.subscribe();
+    // The sender lives as long as the board does.
+    let _ = owned.wait_for(|owned| !owned.contains(&partition)).await;
+}
+
+/// Drops the runs of jobs that are ended, with their requests at engines.
+fn end_jobs(app: &App, partition: u32, jobs: &mut HashMap<JobId, Running>) {
+    let fold = app.shelf.fold(partition);
+    jobs.retain(|id, running| {
+        let open = fold.job(id).is_some_and(cassia_jobs::Job::is_open);
+        if !open && !running.task.is_finished() {
+            log::info!(event = "job_over", step = "run", id = id.as_str(); "over");
+            running.task.abort();
+        }
+        open
+    });
+}
+
+async fn begin_jobs(
+    app: &Arc<App>,
+    partition: u32,
+    jobs: &mut HashMap<JobId, Running>,
+    tx: &mpsc::UnboundedSender<ItemResult>,
+) {
+    let open: Vec<_> = {
+        let fold = app.shelf.fold(partition);
+        let open = fold.jobs().filter(|(id, job)| job.is_open() && !jobs.contains_key(*id));
+        open.map(|(id, job)| (id.clone(), job.clone())).collect()
+    };
+    for (id, job) in open {
+        let deadline = Instant::now() + LOAD_TIMEOUT;
+        match app.shelf.submission(partition, job.first, job.parts, deadline).await {
+            Ok(submission) => {
+                let (items, listed) = (submission.items.len(), job.listed.len());
+                log::info!(event = "job_begun", step = "run", id = id.as_str(), items, listed, offset = job.first; "begun");
+                let run = JobRun::new(Arc::clone(app), partition, submission, &job, tx.clone());
+                jobs.insert(id, Running { task: tokio::spawn(run.run()) });
+            }
+            // It stays open in the fold, so the next round tries again.
+            Err(e) => {
+                log::warn!(event = "job_unread", step = e.step, id = id.as_str(); "{e}");
+            }
+        }
+    }
+}
+
+/// Appends results until all who may send some are gone and all are in.
+async fn list(app: Arc<App>, partition: u32, mut rx: mpsc::UnboundedReceiver<ItemResult>) {
+    while let Some(first) = rx.recv().await {
+        sleep(GATHER).await;
+        let mut records = vec![first.to_record()];
+        let mut size = records[0].len();
+        while size < MOST_APPENDED {
+            let Ok(result) = rx.try_recv() else { break };
+            let record = result.to_record();
+            size += record.len();
+            records.push(record);
+        }
+        append(&app, partition, &records).await;
+    }
+}
+
+/// Appends until the store says that the records are in. Results that are in
+/// twice count once, so an answer that is lost costs a repetition.
+async fn append(app: &App, partition: u32, records: &[Bytes]) {
+    loop {
+        let deadline = Instant::now() + APPEND_TIMEOUT;
+        match app.shelf.append(partition, records, deadline).await {
+            Ok(appended) => {
+                let (offset, count) = (appended.offset, records.len());
+                log::info!(event = "results_listed", step = "list", partition, offset, count; "listed");
+                return;
+            }
+            Err(e) => {
+                let sure = e.kind == StoreErrorKind::NotDone;
+                log::info!(event = "append_failed", step = e.step, partition, sure; "{e}");
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/serve/src/targets.rs
@@ -0,0 +1,144 @@
+//! The targets controller: reads the heartbeats that targets write.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_adapter::TARGET_TOPIC;
+use cassia_adapter::heartbeat;
+use cassia_ids::Offset;
+use cassia_ids::TargetId;
+use cassia_platform::KeyedRecord;
+use cassia_platform::StoreError;
+use cassia_platform::StoreErrorKind;
+use cassia_route::Change;
+use cassia_route::Roster;
+
+use crate::app::App;
+
+/// How often the heartbeats are read. Each read has those of all targets, so
+/// waiting for the next one would mean a read for every single heartbeat.
+const EVERY: Duration = Duration::from_millis(300);
+/// How long a read may take.
+const PATIENCE: Duration = Duration::from_millis(700);
+
+#[derive(Debug, Default)]
+struct Reader {
+    roster: Roster,
+    next: Option<Offset>,
+    away: bool,
+}
+
+/// Runs until a planned stop ends the process.
+pub(crate) async fn run(app: Arc<App>) {
+    let mut reader = Reader::default();
+    loop {
+        let lapses = reader.roster.has_lapses(Instant::now());
+        match reader.read(&app).await {
+            Ok(change) => {
+                if change == Change::Changed || lapses {
+                    reader.publish(&app);
+                }
+            }
+            Err(e) => reader.failed(&e),
+        }
+        app.board.pause(EVERY).await;
+        if app.board.is_stopping() {
+            tokio::time::sleep(EVERY).await;
+        }
+    }
+}
+
+impl Reader {
+    async fn read(&mut self, app: &App) -> Result<Change, StoreError> {
+        let deadline = Instant::now() + PATIENCE;
+        let records = match self.next {
+            None => {
+                let newest = app.store.newest(TARGET_TOPIC, deadline).await?;
+                self.regained();
+                self.next = Some(newest.next);
+                let ids: Vec<TargetId> = newest.records.iter().map(|r| r.key.clone()).collect();
+                let changed = self.roster.only(&ids, Instant::now());
+                let taken = self.take_all(&newest.records);
+                return Ok(if changed == Change::Changed { changed } else { taken });
+            }
+            Some(from) => {
+                let store = &app.store;
+                let (next, records) =
+                    store.changes(TARGET_TOPIC, from, Duration::ZERO, deadline).await?;
+                self.regained();
+                self.next = Some(next);
+                records
+            }
+        };
+        Ok(self.take_all(&records))
+    }
+
+    fn take_all(&mut self, records: &[KeyedRecord]) -> Change {
+        let changes = records.iter().map(|record| self.take(record));
+        if changes.filter(|change| *change == Change::Changed).count() > 0 {
+            return Change::Changed;
+        }
+        Change::Nothing
+    }
+
+    fn take(&mut self, record: &KeyedRecord) -> Change {
+        let Some(value) = &record.value else {
+            let change = self.roster.removed(&record.key, Instant::now());
+            if change == Change::Changed {
+                log::info!(event = "target_removed", step = "targets", target = record.key.as_str(); "removed");
+            }
+            return change;
+        };
+        match heartbeat(&record.key, value) {
+            Ok(beat) => {
+                let (id, leaving, seq) = (beat.id.clone(), beat.leaving, beat.seq);
+                let change = self.roster.beat(beat);
+                if change == Change::Changed {
+                    log::info!(event = "target_changed", step = "targets", target = id.as_str(), leaving, seq; "changed");
+                }
+                change
+            }
+            // Somebody else wrote it: it names no target, and says nothing of
+            // the one whose key it bears.
+            Err(e) => {
+                log::debug!(event = "record_unreadable", step = "targets"; "{e}");
+                Change::Nothing
+            }
+        }
+    }
+
+    /// Before the records of the first read after an outage are taken in: what
+    /// they remove may have lapsed in it only.
+    fn regained(&mut self) {
+        if std::mem::take(&mut self.away) {
+            self.roster.list_is_back(Instant::now());
+            log::info!(event = "store_back", step = "targets"; "read again");
+        }
+    }
+
+    fn failed(&mut self, e: &StoreError) {
+        if matches!(e.kind, StoreErrorKind::Expired { .. }) {
+            self.next = None;
+        }
+        if !std::mem::replace(&mut self.away, true) {
+            log::warn!(event = "store_away", step = e.step; "{e}");
+        }
+    }
+
+    fn publish(&mut self, app: &App) {
+        let now = Instant::now();
+        self.roster.forget_old(now);
+        let here: Vec<_> = self.roster.here(now).cloned().collect();
+        for beat in &here {
+            for (model, version) in &beat.versions {
+                app.board.learn_version(&beat.id, beat.started_ms, model, *version);
+            }
+        }
+        app.board.keep_versions(&here);
+        let updated = app.board.targets.load().updated(&self.roster.listed(now));
+        app.board.targets.store(Arc::new(updated));
+        app.board.heartbeats.store(Arc::new(here));
+        app.board.slot_freed.notify_waiters();
+    }
+}
