Order named versions under a lease

Change: cassia-lease gets Seat (the stream and the contest in one pure piece), cassia-orders gets Swaps (which engine loads next); cassia-serve's weights controller reads, contends and orders. A new holder waits the least time between two holders' orders.

--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -94,6 +94,12 @@
         self.searching.is_some()
     }
 
+    /// Says whether everything before an offset is folded in.
+    #[must_use]
+    pub fn state_is_at(&self, end: Offset) -> bool {
+        self.state.next() >= end
+    }
+
     /// Tells where to read next.
     #[must_use]
     pub fn next_read(&self) -> NextRead {
--- a/crates/lease/src/contend.rs
+++ b/crates/lease/src/contend.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Takes the table in without contending.
+    pub fn watch(&mut self, now: Instant, table: &LeaseTable) {
+        self.observe(now, table);
+    }
+
     fn observe(&mut self, now: Instant, table: &LeaseTable) {
         let Some(lease) = table.get(&self.resource) else {
             // After a reset a holder may still count on its term: a whole one
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -18,10 +18,14 @@
 //! ```
 
 mod contend;
+mod seat;
 mod table;
 
 pub use crate::contend::Contender;
 pub use crate::contend::Todo;
+pub use crate::seat::Holding;
+pub use crate::seat::Move;
+pub use crate::seat::Seat;
 pub use crate::table::Act;
 pub use crate::table::Lease;
 pub use crate::table::LeaseRecord;
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -15,9 +15,14 @@
 //! assert_eq!(plan(&[engine], 2, false), Plan::Stage(vec!["e1".into()]));
 //! ```
 
+mod swap;
+
 use cassia_ids::TargetId;
 use cassia_ids::Version;
 
+pub use crate::swap::EngineState;
+pub use crate::swap::Swaps;
+
 /// Engines that stage at once: as many as the weight store serves.
 const STAGED_AT_ONCE: usize = 4;
 /// Of the engines that can serve, one in this many may be in a swap at once.
--- /dev/null
+++ b/crates/orders/src/swap.rs
@@ -0,0 +1,101 @@
+//! Which engine loads the named version next, where engines load and activate
+//! a version by one order.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_ids::TargetId;
+use cassia_ids::Version;
+
+/// Engines of which one loads at a time; more at once are slower.
+const ENGINES_PER_LOAD: usize = 5;
+/// How long an order may take before the engine is asked again what it does.
+const LOAD_LIMIT: Duration = Duration::from_millis(2_500);
+/// How long an engine that did not take an order is left alone.
+const REFUSED_PAUSE: Duration = Duration::from_millis(700);
+
+/// What is known of one engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineState {
+    /// The engine.
+    pub id: TargetId,
+    /// When it started; tells its incarnations apart.
+    pub started_ms: u64,
+    /// The version that it has, if known.
+    pub version: Option<Version>,
+    /// Whether it is about to go.
+    pub leaving: bool,
+    /// Requests that this process knows to be there.
+    pub load: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    started_ms: u64,
+    version: Version,
+    /// When it should be done; before that it isn't ordered again.
+    until: Instant,
+    loads: bool,
+}
+
+/// The loads of one model's engines that are under way.
+#[derive(Clone, Debug, Default)]
+pub struct Swaps {
+    ordered: BTreeMap<TargetId, Ordered>,
+}
+
+impl Swaps {
+    /// Chooses the engines that are to load the version now, the least busy
+    /// first, so that enough are left to serve.
+    #[must_use]
+    pub fn next(
+        &mut self,
+        engines: &[EngineState],
+        wanted: Version,
+        now: Instant,
+    ) -> Vec<TargetId> {
+        self.ordered.retain(|id, ordered| {
+            let engine = engines.iter().find(|engine| engine.id == *id);
+            now < ordered.until && engine.is_some_and(|engine| ordered.is_under_way(engine))
+        });
+        let under_way = self.ordered.values().filter(|ordered| ordered.loads).count();
+        let at_once = ((engines.len() + ENGINES_PER_LOAD / 2) / ENGINES_PER_LOAD).max(1);
+        let is_due = |engine: &&EngineState| {
+            let is_behind = engine.version.is_some_and(|version| version < wanted);
+            is_behind && !engine.leaving && !self.ordered.contains_key(&engine.id)
+        };
+        let mut due: Vec<_> = engines.iter().filter(is_due).collect();
+        due.sort_by_key(|engine| (engine.version, engine.load));
+        let free = at_once.saturating_sub(under_way);
+        due.into_iter().take(free).map(|engine| engine.id.clone()).collect()
+    }
+
+    /// Notes that an engine carries an order out, or may do so.
+    pub fn loads(&mut self, engine: &EngineState, version: Version, now: Instant) {
+        self.note(engine, version, now + LOAD_LIMIT, true);
+    }
+
+    /// Notes that an engine did not take an order.
+    pub fn refused(&mut self, engine: &EngineState, version: Version, now: Instant) {
+        self.note(engine, version, now + REFUSED_PAUSE, false);
+    }
+
+    /// Lists the engines whose load is under way: whether they are done shows
+    /// in their reports sooner than in the list.
+    pub fn under_way(&self) -> impl Iterator<Item = &TargetId> {
+        self.ordered.iter().filter(|(_, ordered)| ordered.loads).map(|(id, _)| id)
+    }
+
+    fn note(&mut self, engine: &EngineState, version: Version, until: Instant, loads: bool) {
+        let started_ms = engine.started_ms;
+        self.ordered.insert(engine.id.clone(), Ordered { started_ms, version, until, loads });
+    }
+}
+
+impl Ordered {
+    fn is_under_way(&self, engine: &EngineState) -> bool {
+        let done = engine.version.is_some_and(|version| version >= self.version);
+        !done && engine.started_ms == self.started_ms
+    }
+}
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -67,6 +67,8 @@
 pub struct Records {
     /// The offset of the first record here.
     pub from: Offset,
+    /// The oldest offset that the partition keeps.
+    pub first: Offset,
     /// The offset that the partition's next record will get.
     pub end: Offset,
     /// The records.
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -10,6 +10,7 @@
 mod ingress;
 mod item;
 mod job_calls;
+mod order;
 mod owner;
 mod reply;
 mod runner;
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -1,9 +1,216 @@
-//! The weights controller; not yet.
+//! The weights controller: gives engines the orders to load named versions.
+//!
+//! One process at a time gives orders, under a lease in the log. The owner of
+//! the first partition of batch jobs contends for it, so that one process
+//! watches the lease and not all of them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use cassia_ids::ModelName;
+use cassia_ids::Version;
+use cassia_lease::Contender;
+use cassia_lease::Holding;
+use cassia_lease::LeaseRecord;
+use cassia_lease::Move;
+use cassia_lease::STREAM;
+use cassia_lease::Seat;
+use cassia_orders::EngineState;
+use cassia_orders::Swaps;
+use cassia_platform::PartitionRef;
+use cassia_platform::StoreError;
+use cassia_platform::StoreErrorKind;
+use futures::future::join_all;
 
 use crate::app::App;
+use crate::order;
+use crate::order::Given;
+
+/// The lease on the orders to all engines.
+const LEASE: &str = "orders";
+/// How long a lease holds after its last renewal was sent.
+const TERM: Duration = Duration::from_millis(1_800);
+/// Records after which the table of leases is appended again.
+const RECORDS_PER_SNAPSHOT: u64 = 150;
+/// How often a round is worked out.
+const EVERY: Duration = Duration::from_millis(150);
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Beyond the least time between two holders' orders: how long an order may
+/// be on its way.
+const ORDER_FLIGHT: Duration = Duration::from_millis(900);
+/// A lease must last this much longer for an order to be sent.
+const SEND_MARGIN: Duration = Duration::from_millis(200);
+/// Without the older records the leases are begun anew after so many terms.
+const TERMS_BEFORE_RESET: u32 = 3;
+
+const PARTITION: PartitionRef<'static> = PartitionRef { topic: STREAM, partition: 0 };
 
+/// Runs until a planned stop, and lets the lease go then.
 pub(crate) async fn run(app: Arc<App>) {
-    app.board.until_stopping().await;
+    let mut weights = Weights::new(&app);
+    while !app.board.is_stopping() {
+        if app.board.owned.borrow().contains(&PARTITION.partition) {
+            weights.round(&app).await;
+        } else {
+            weights.let_go(&app).await;
+        }
+        app.board.pause(EVERY).await;
+    }
+    weights.let_go(&app).await;
+}
+
+#[derive(Debug)]
+struct Weights {
+    seat: Seat,
+    swaps: BTreeMap<ModelName, Swaps>,
+    /// The last fencing number under which this process held the lease.
+    held: Option<u64>,
+    stranded_until: Option<Instant>,
+}
+
+impl Weights {
+    fn new(app: &App) -> Self {
+        let now = app.clock.now();
+        let (host, boot) = (app.board.host.clone(), app.board.boot);
+        let contender = Contender::new(LEASE.into(), host, boot, TERM, now);
+        let seat = Seat::new(contender, RECORDS_PER_SNAPSHOT);
+        Self { seat, swaps: BTreeMap::new(), held: None, stranded_until: None }
+    }
+
+    async fn round(&mut self, app: &Arc<App>) {
+        if let Err(e) = self.contend(app).await {
+            log::debug!(event = "store_away", step = e.step; "{e}");
+        }
+        let holding = self.seat.holding(app.clock.now());
+        self.note_held(holding);
+        let Some(holding) = holding else { return };
+        for (model, version) in app.board.wanted.load_full().iter() {
+            self.give_orders(app, model, *version, holding).await;
+        }
+    }
+
+    /// Reads the lease stream and does what the contest asks for.
+    async fn contend(&mut self, app: &App) -> Result<(), StoreError> {
+        self.read(app).await?;
+        let now = app.clock.now();
+        if self.seat.is_stranded() {
+            return self.begin_anew_when_due(app, now).await;
+        }
+        self.stranded_until = None;
+        if let Some(Move::Append(record)) = self.seat.step(now) {
+            append(app, &record).await?;
+            // The record counts once it was read back.
+            self.read(app).await?;
+        }
+        Ok(())
+    }
+
+    async fn read(&mut self, app: &App) -> Result<(), StoreError> {
+        loop {
+            let from = self.seat.next_read();
+            let deadline = Instant::now() + CALL_TIMEOUT;
+            let read = app.store.read(PARTITION, from, 256, Duration::ZERO, deadline).await;
+            let records = match read {
+                Ok(records) => records,
+                Err(StoreError { kind: StoreErrorKind::Expired { first }, .. }) => {
+                    self.seat.take(first, first, &[], first, app.clock.now());
+                    continue;
+                }
+                Err(e) => return Err(e),
+            };
+            let parsed: Vec<_> =
+                records.records.iter().map(|r| serde_json::from_slice(r).ok()).collect();
+            let next = records.from + parsed.len() as u64;
+            self.seat.take(records.first, records.from, &parsed, records.end, app.clock.now());
+            if next >= records.end {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn begin_anew_when_due(&mut self, app: &App, now: Instant) -> Result<(), StoreError> {
+        let until = *self.stranded_until.get_or_insert(now + TERM * TERMS_BEFORE_RESET);
+        if now < until {
+            return Ok(());
+        }
+        self.stranded_until = None;
+        log::warn!(event = "lease_reset", step = "lease"; "older records are lost");
+        append(app, &LeaseRecord::Reset).await
+    }
+
+    async fn let_go(&mut self, app: &App) {
+        let Some(act) = self.seat.release(app.clock.now()) else {
+            return;
+        };
+        self.note_held(None);
+        // If it is lost, the lease lapses by itself.
+        if let Err(e) = append(app, &LeaseRecord::Act(act)).await {
+            log::info!(event = "release_failed", step = e.step; "{e}");
+        }
+    }
+
+    fn note_held(&mut self, holding: Option<Holding>) {
+        let fence = holding.map(|holding| holding.fence);
+        if fence != self.held {
+            self.held = fence;
+            log::info!(event = "lease", step = "lease", fence; "orders");
+        }
+    }
+
+    async fn give_orders(
+        &mut self,
+        app: &Arc<App>,
+        model: &ModelName,
+        version: Version,
+        holding: Holding,
+    ) {
+        // The holder before may have sent its last order just before its time
+        // was over, which was before ours began.
+        let quiet = Duration::from_millis(app.settings.lease_ms) + ORDER_FLIGHT;
+        if app.clock.now() < holding.since + quiet {
+            return;
+        }
+        let swaps = self.swaps.entry(model.clone()).or_default();
+        order::learn_progress(app, model, swaps).await;
+        let engines = engines(app, model);
+        let due = swaps.next(&engines, version, Instant::now());
+        let due: Vec<_> = engines.iter().filter(|engine| due.contains(&engine.id)).collect();
+        let may_send = || {
+            let now = app.clock.now();
+            self.seat.holding(now).is_some_and(|held| now + SEND_MARGIN < held.until)
+        };
+        let given = due
+            .iter()
+            .map(|engine| order::give(app, &engine.id, model, version, holding.fence, &may_send));
+        for (engine, given) in due.iter().zip(join_all(given).await) {
+            match given {
+                Given::Loads => swaps.loads(engine, version, Instant::now()),
+                Given::Refused => swaps.refused(engine, version, Instant::now()),
+            }
+        }
+    }
+}
+
+async fn append(app: &App, record: &LeaseRecord) -> Result<(), StoreError> {
+    let bytes = Bytes::from(serde_json::to_vec(record).unwrap_or_default());
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    app.store.append(PARTITION, &[bytes], deadline).await.map(|_| ())
+}
+
+/// Lists the engines that have a model.
+fn engines(app: &App, model: &ModelName) -> Vec<EngineState> {
+    let targets = app.board.targets.load();
+    let beats = app.board.heartbeats.load();
+    let has_model = beats.iter().filter(|beat| beat.versions.iter().any(|(m, _)| m == model));
+    let state = |beat: &cassia_route::Heartbeat| EngineState {
+        id: beat.id.clone(),
+        started_ms: beat.started_ms,
+        version: app.board.version_of(&beat.id, model),
+        leaving: beat.leaving,
+        load: targets.all().find(|t| t.listed.id == beat.id).map_or(0, |t| t.load()),
+    };
+    has_model.map(state).collect()
 }
