Begin jobs only at the end of their partition

Ruled out: carried-over items (the item's later job was ended too). Change: the runner begins jobs only after a read that reached the end.

--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -48,12 +48,18 @@
             // What runs is over before the next news: nothing holds this.
             () = until_lost(&app, partition), if jobs.is_empty() => continue,
         };
-        if let Err(e) = read {
-            log::debug!(event = "store_away", step = e.step, partition; "{e}");
-            sleep(RETRY_PAUSE).await;
-        }
+        let at_end = match read {
+            Ok(at_end) => at_end,
+            Err(e) => {
+                log::debug!(event = "store_away", step = e.step, partition; "{e}");
+                sleep(RETRY_PAUSE).await;
+                false
+            }
+        };
         end_jobs(&app, partition, &mut jobs);
-        if is_owned(&app, partition) {
+        // Before the end of the partition was read, a job may look open whose
+        // end is in what is still to come.
+        if at_end && is_owned(&app, partition) {
             begin_jobs(&app, partition, &mut jobs, &tx).await;
         }
     }
