Try the program on a stand-in of the platform; mend three faults found by it

Change: the stop waits out the balancer's lag first; an item goes to an engine that failed it only if there is no other, and three failures in a row put a target in doubt; the deadline decides between 502 and 504. cassia-standin gets the platform's store and targets; cassia-trials the fleet.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -33,6 +33,8 @@
 /// How long a target is avoided after a failure; twice as long after each more.
 const FIRST_AVOIDED: Duration = Duration::from_secs(1);
 const MOST_DOUBLINGS: u32 = 5;
+/// Failures of a target's own, one after the other, that put it in doubt.
+const ERRORS_IN_A_ROW: u32 = 3;
 /// A score counts requests a slot in units of one over this.
 const SCORE_UNIT: u64 = 1_024;
 /// How much worse than the better of two random targets the one with the
@@ -119,6 +121,8 @@
     unreachable: AtomicBool,
     /// Requests that failed there since the last one that succeeded.
     failures: AtomicU32,
+    /// Requests that it ran and answered with its own failure, in a row.
+    errors: AtomicU32,
     /// Until when it is avoided after a failure.
     avoided_until_ms: AtomicU64,
 }
@@ -159,6 +163,7 @@
             slow: AtomicBool::new(false),
             unreachable: AtomicBool::new(false),
             failures: AtomicU32::new(0),
+            errors: AtomicU32::new(0),
             avoided_until_ms: AtomicU64::new(0),
         }
     }
@@ -380,10 +385,22 @@
 
     /// Takes in that a request succeeded at a target.
     pub fn succeeded(&self, target: &Target) {
+        target.errors.store(0, Ordering::Relaxed);
         target.failures.store(0, Ordering::Relaxed);
         target.avoided_until_ms.store(0, Ordering::Relaxed);
     }
 
+    /// Takes in that a target ran a request and answered with its own failure.
+    ///
+    /// One says as much of the request as of the target; several in a row put
+    /// the target in doubt.
+    pub fn erred(&self, target: &Target, now: Instant) {
+        let errors = target.errors.fetch_add(1, Ordering::Relaxed) + 1;
+        if errors >= ERRORS_IN_A_ROW {
+            self.failed(target, now);
+        }
+    }
+
     /// Takes in that a target refused a request because it is full or busy:
     /// it is avoided until then, without being in doubt.
     pub fn busy(&self, target: &Target, until: Instant) {
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -176,8 +176,10 @@
                     tally.refusals += 1;
                     tokio::time::sleep(REFUSED_PAUSE).await;
                 }
-                Ok(Ended::Unknown) => return Outcome::Refused(Refusal::Lost),
-                Err(_) => return Outcome::Refused(Refusal::TooLate),
+                Ok(Ended::Unknown) if Instant::now() < self.deadline => {
+                    return Outcome::Refused(Refusal::Lost);
+                }
+                Ok(Ended::Unknown) | Err(_) => return Outcome::Refused(Refusal::TooLate),
             }
         }
         tally.give_up()
@@ -245,7 +247,12 @@
         }
         match self.app.client.read_body("call", listed.addr, answer, self.deadline).await {
             Ok(answer) => {
-                self.app.board.targets.load().succeeded(target.target());
+                let targets = self.app.board.targets.load();
+                if is_own_failure(answer.status()) {
+                    targets.erred(target.target(), Instant::now());
+                } else {
+                    targets.succeeded(target.target());
+                }
                 Ended::Answer(answer, head)
             }
             Err(e) => self.failed(target, &e),
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -100,7 +100,11 @@
             }
             status if status.is_success() => self.read(answer.into_body(), &head, text).await,
             StatusCode::UNPROCESSABLE_ENTITY => Generated::Impossible,
-            StatusCode::INTERNAL_SERVER_ERROR => Generated::Failed,
+            StatusCode::INTERNAL_SERVER_ERROR => {
+                let targets = self.app.board.targets.load();
+                targets.erred(self.engine.target(), Instant::now());
+                Generated::Failed
+            }
             status => {
                 self.blame(status.as_str());
                 Generated::BrokeOff
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -90,8 +90,11 @@
     /// Waits out the balancer's lag, then ends the connections once their
     /// requests are answered.
     pub(crate) async fn stop(self, limit: Duration) {
+        // Also when no connection is open now: the balancer still sends some.
+        sleep(BALANCER_LAG).await;
         self.connections.close();
-        if timeout(limit, self.connections.wait()).await.is_err() {
+        let left = limit.saturating_sub(BALANCER_LAG);
+        if timeout(left, self.connections.wait()).await.is_err() {
             let left = self.connections.len();
             log::warn!(event = "cut_off", step = "stop", left; "requests were cut off");
         }
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -106,7 +106,7 @@
         while let Some(index) = self.pending.pop_front() {
             let group = self.cx.job.items[index as usize].group.clone();
             let home = self.homes.get(&group).cloned();
-            let Some(slot) = self.cx.slot(index, home.as_deref()).await else {
+            let Some(slot) = self.cx.slot(index, home.as_deref(), &[]).await else {
                 break;
             };
             if let Some(engine) = &slot.engine {
@@ -143,7 +143,9 @@
 
     /// Waits for a slot at an engine that may run the item; none once the job
     /// is no longer this process's.
-    async fn slot(&self, index: u32, home: Option<&str>) -> Option<Slot> {
+    ///
+    /// It goes to one of the engines in `failed` only if there is no other.
+    async fn slot(&self, index: u32, home: Option<&str>, failed: &[TargetId]) -> Option<Slot> {
         loop {
             if !self.is_owned() {
                 return None;
@@ -151,20 +153,47 @@
             let freed = self.app.board.slot_freed.notified();
             let mut freed = std::pin::pin!(freed);
             freed.as_mut().enable();
-            if let Some(engine) = self.free_engine(index, home) {
+            let others = |target: &Target| !failed.contains(&target.listed.id);
+            let engine = self.free_engine(index, home, others);
+            let engine = engine.or_else(|| self.last_resort(index, failed));
+            if let Some(engine) = engine {
                 return Some(Slot::new(Arc::clone(&self.app), engine));
             }
             let _ = timeout(LOOK_AGAIN, freed).await;
         }
     }
 
-    fn free_engine(&self, index: u32, home: Option<&str>) -> Option<Use> {
+    /// Any engine with a free slot, if all that are here have failed the item.
+    fn last_resort(&self, index: u32, failed: &[TargetId]) -> Option<Use> {
+        if failed.is_empty() {
+            return None;
+        }
+        let kind = self.service(index)?;
+        let targets = self.app.board.targets.load();
+        let mut open = targets.of_kind(&kind).iter().filter(|target| target.is_open());
+        if open.all(|target| failed.contains(&target.listed.id)) {
+            return self.free_engine(index, None, |_| true);
+        }
+        None
+    }
+
+    fn service(&self, index: u32) -> Option<TargetKind> {
         let route = self.route(&self.job.host, &self.item(index).path)?;
-        let kind = TargetKind::Service { name: route.service(rand::random())?.clone() };
+        let name = route.service(rand::random())?.clone();
+        Some(TargetKind::Service { name })
+    }
+
+    fn free_engine(
+        &self,
+        index: u32,
+        home: Option<&str>,
+        others: impl Fn(&Target) -> bool,
+    ) -> Option<Use> {
+        let kind = self.service(index)?;
         let board = &self.app.board;
         let fit = |target: &Target| {
             let version = board.version_of(&target.listed.id, &self.model);
-            version.unwrap_or(0) >= self.job.min_version
+            version.unwrap_or(0) >= self.job.min_version && others(target)
         };
         let now = Instant::now();
         let targets = board.targets.load();
@@ -220,6 +249,7 @@
         let mut attempts = Attempts::default();
         let mut next = Some(slot);
         let mut text: Option<ItemText> = None;
+        let mut failed = Vec::new();
         loop {
             let Some(route) = self.route(&self.job.host, &item.path) else {
                 sleep(ROUTE_PAUSE).await;
@@ -230,7 +260,7 @@
             }
             let slot = match next.take() {
                 Some(slot) => slot,
-                None => self.slot(index, None).await?,
+                None => self.slot(index, None, &failed).await?,
             };
             let engine = slot.engine.as_ref()?;
             let fresh = || ItemText::new(self.job.min_version, route.job.single_version);
@@ -238,11 +268,13 @@
             let host = &self.job.host;
             let run = Run { app: &self.app, host, model: &self.model, item, engine };
             let generated = run.generate(so_far).await;
+            let tried = engine.target().listed.id.clone();
             drop(slot);
             match generated {
                 Generated::Whole => return Some(text.map(ItemText::finish)),
                 Generated::Impossible => return Some(None),
                 Generated::Failed => {
+                    failed.push(tried);
                     if attempts.failed(route.max_attempts) == NextStep::GiveUp {
                         return Some(None);
                     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,18 +13,25 @@
 //! ```
 
 mod engine;
+mod fleet_target;
 mod list;
 mod log;
 mod proxy;
 mod scorer;
 mod serve;
 mod service;
+mod store;
 mod trainer;
 mod weights;
 
 pub use crate::engine::EngineFaults;
 pub use crate::engine::EngineSpec;
 pub use crate::engine::EngineStandin;
+pub use crate::fleet_target::FleetTarget;
+pub use crate::fleet_target::OrderSeen;
+pub use crate::fleet_target::Ran;
+pub use crate::fleet_target::TargetFaults;
+pub use crate::fleet_target::TargetSpec;
 pub use crate::list::ListStandin;
 pub use crate::log::LogStandin;
 pub use crate::proxy::Proxy;
@@ -34,6 +41,8 @@
 pub use crate::serve::Server;
 pub use crate::service::ServiceFault;
 pub use crate::service::ServiceStandin;
+pub use crate::store::StoreFaults;
+pub use crate::store::StoreStandin;
 pub use crate::trainer::Step;
 pub use crate::trainer::TrainerStandin;
 pub use crate::weights::WeightStandin;
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -40,6 +40,8 @@
     Bytes(u16, Vec<(&'static str, String)>, Bytes),
     /// With server-sent events.
     Stream(mpsc::Receiver<Part>),
+    /// With a stream under these headers.
+    StreamWith(Vec<(&'static str, String)>, mpsc::Receiver<Part>),
     /// Not at all, with the connection left open.
     Hang,
     /// By closing the connection.
@@ -135,18 +137,21 @@
         }
         Reply::Bytes(status, headers, bytes) => response(status, &headers, full(bytes)),
         Reply::Stream(rx) => {
-            let parts = futures::stream::unfold(rx, |mut rx| async move {
-                rx.recv().await.map(|part| (part, rx))
-            });
-            let body = StreamBody::new(parts.map(|part| part.map(Frame::data)));
             let headers = [("content-type", "text/event-stream".to_owned())];
-            response(200, &headers, body.boxed_unsync())
+            response(200, &headers, stream(rx))
         }
+        Reply::StreamWith(headers, rx) => response(200, &headers, stream(rx)),
         Reply::Hang => std::future::pending().await,
         Reply::Cut => Err(io::ErrorKind::ConnectionReset.into()),
     }
 }
 
+fn stream(rx: mpsc::Receiver<Part>) -> Body {
+    let parts =
+        futures::stream::unfold(rx, |mut rx| async move { rx.recv().await.map(|part| (part, rx)) });
+    StreamBody::new(parts.map(|part| part.map(Frame::data))).boxed_unsync()
+}
+
 fn full(bytes: Bytes) -> Body {
     Full::new(bytes).map_err(|e: Infallible| match e {}).boxed_unsync()
 }
--- /dev/null
+++ b/crates/trials/src/fleet.rs
@@ -0,0 +1,298 @@
+//! The platform's stand-ins, and processes that serve on it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cassia_standin::FleetTarget;
+use cassia_standin::StoreStandin;
+use cassia_standin::TargetSpec;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::Process;
+use crate::eventually;
+
+/// The host name of all routes.
+pub const FLEET_HOST: &str = "app.example";
+/// The model of the engines.
+pub const FLEET_MODEL: &str = "m";
+/// Partitions of a topic.
+const PARTS: u32 = 2;
+const BEAT_EVERY: Duration = Duration::from_millis(150);
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// An answer: its status (0 for none), headers and body.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The HTTP status; 0 if there was no whole answer.
+    pub status: u16,
+    /// When to come back, if it says so.
+    pub retry_after: Option<String>,
+    /// The target's signature, if it bears one.
+    pub signature: Option<String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Gives the body as JSON; null if it is none.
+    #[must_use]
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
+
+/// The platform, with what serves on it.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The store.
+    pub store: Arc<StoreStandin>,
+    /// The targets.
+    pub targets: Vec<Arc<FleetTarget>>,
+    beats: Vec<JoinHandle<()>>,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for beat in &self.beats {
+            beat.abort();
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts a store with a first configuration, and no target.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had.
+    pub async fn start() -> io::Result<Self> {
+        let store = Arc::new(StoreStandin::start(PARTS).await?);
+        store.put("keyed.op", "config", Some(&config(1, true)));
+        // Each call on a connection of its own, as the platform's clients do.
+        let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
+        Ok(Self { store, targets: Vec::new(), beats: Vec::new(), client })
+    }
+
+    /// Starts engines and services that beat from now on.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had.
+    pub async fn with_targets(mut self, engines: usize, services: usize) -> io::Result<Self> {
+        for n in 0..engines {
+            self.add_engine(&format!("e{n}"), 6).await?;
+        }
+        for n in 0..services {
+            self.add_target(TargetSpec {
+                id: format!("s{n}"),
+                service: "intake".to_owned(),
+                model: None,
+                events: 0,
+                step: Duration::from_millis(5),
+            })
+            .await?;
+        }
+        Ok(self)
+    }
+
+    /// Starts an engine whose generations have so many events.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had.
+    pub async fn add_engine(&mut self, id: &str, events: u64) -> io::Result<Arc<FleetTarget>> {
+        self.add_target(TargetSpec {
+            id: id.to_owned(),
+            service: "lm".to_owned(),
+            model: Some(FLEET_MODEL.to_owned()),
+            events,
+            step: Duration::from_millis(10),
+        })
+        .await
+    }
+
+    /// Starts a target.
+    ///
+    /// # Errors
+    ///
+    /// No port can be had.
+    pub async fn add_target(&mut self, spec: TargetSpec) -> io::Result<Arc<FleetTarget>> {
+        let target = Arc::new(FleetTarget::start(spec).await?);
+        let (beating, store) = (Arc::clone(&target), Arc::clone(&self.store));
+        self.beats.push(tokio::spawn(async move {
+            loop {
+                beating.beat(&store);
+                sleep(BEAT_EVERY).await;
+            }
+        }));
+        self.targets.push(Arc::clone(&target));
+        Ok(target)
+    }
+
+    /// Starts a process and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// It can't be started.
+    pub async fn serve(&self, host: &str) -> io::Result<Process> {
+        let process = Process::start_serve(host, self.store.addr())?;
+        let ready = || async { self.is_ready(&process).await };
+        if eventually(ready).await {
+            return Ok(process);
+        }
+        Err(io::Error::new(io::ErrorKind::TimedOut, "the process is not ready"))
+    }
+
+    /// Asks as the balancer does.
+    pub async fn is_ready(&self, process: &Process) -> bool {
+        self.call("GET", process.link, "/v1/ready", &[], Bytes::new()).await.status == 200
+    }
+
+    /// Sends one request on a connection of its own.
+    pub async fn call(
+        &self,
+        method: &str,
+        to: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Answer {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(format!("http://{to}{path}"))
+            .header("host", FLEET_HOST);
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let none = || Answer { status: 0, retry_after: None, signature: None, body: Bytes::new() };
+        let Ok(request) = builder.body(Full::new(body.into())) else {
+            return none();
+        };
+        let Ok(Ok(response)) = timeout(PATIENCE, self.client.request(request)).await else {
+            return none();
+        };
+        let (head, body) = response.into_parts();
+        let Ok(Ok(body)) = timeout(PATIENCE, body.collect()).await else {
+            return none();
+        };
+        let text = |name: &str| {
+            head.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+        };
+        Answer {
+            status: head.status.as_u16(),
+            retry_after: text("retry-after"),
+            signature: text("response-stamp"),
+            body: body.to_bytes(),
+        }
+    }
+
+    /// Sends a caller's request.
+    pub async fn request(&self, to: &Process, path: &str, id: &str) -> Answer {
+        let headers = [("attempt-id", id), ("deadline-ms", "3000")];
+        self.call("POST", to.listen, path, &headers, "ask").await
+    }
+
+    /// Hands a batch job in.
+    pub async fn submit(&self, to: &Process, id: &str, job: &Value) -> Answer {
+        let headers = [("attempt-id", id), ("content-type", "application/json")];
+        self.call("POST", to.listen, "/job/x", &headers, job.to_string()).await
+    }
+
+    /// Reads a job's results from a position on.
+    pub async fn results(&self, from: &Process, job: &str, after: usize) -> Answer {
+        let path = format!("/v1/lots/{job}?after={after}");
+        self.call("GET", from.listen, &path, &[("wait-ms", "500")], Bytes::new()).await
+    }
+
+    /// Ends a job.
+    pub async fn end(&self, to: &Process, job: &str) -> Answer {
+        self.call("DELETE", to.listen, &format!("/v1/lots/{job}"), &[], Bytes::new()).await
+    }
+
+    /// Reads a job until all its results are listed; none if that never comes.
+    pub async fn all_results(&self, from: &Process, job: &str) -> Option<Vec<Value>> {
+        let mut results = Vec::new();
+        let until = std::time::Instant::now() + 3 * PATIENCE;
+        while std::time::Instant::now() < until {
+            let page = self.results(from, job, results.len()).await.json();
+            if let Some(more) = page["results"].as_array() {
+                results.extend(more.iter().cloned());
+            }
+            if page["total_count"].as_u64() == Some(results.len() as u64) {
+                return Some(results);
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        None
+    }
+
+    /// Names a version of the engines' model, as a trainer does.
+    pub fn name_version(&self, version: u64) {
+        let value = json!({"model": FLEET_MODEL, "version": version});
+        self.store.put("keyed.op", &format!("version/{FLEET_MODEL}"), Some(&value));
+    }
+
+    /// Counts how often each id ran, over all targets.
+    #[must_use]
+    pub fn runs_of(&self, id: &str) -> usize {
+        self.targets.iter().flat_map(|t| t.ran()).filter(|ran| ran.id == id).count()
+    }
+}
+
+/// A configuration; `with_extra` adds a route that others lack.
+#[must_use]
+pub fn config(version: u64, with_extra: bool) -> Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": FLEET_HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 3_000, "slo_ms": 150, "priority": 2, "service": service,
+            "max_attempts": 3,
+        })
+    };
+    let mut job = route("job", "rollout", "lm");
+    job["due_ms"] = json!(7_500);
+    job["retention_s"] = json!(40);
+    let mut routes = vec![
+        route("quote", "idempotent", "intake"),
+        route("once", "non_idempotent", "intake"),
+        route("score", "idempotent", "intake"),
+        job,
+    ];
+    if with_extra {
+        routes.push(route("extra", "idempotent", "intake"));
+    }
+    json!({"version": version, "routes": routes, "services": [], "limits": {
+        "max_header_bytes": 16_384, "max_body_bytes": 1 << 20,
+        "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000}})
+}
+
+/// A batch job of so many items, in groups of four, each with a reward call.
+#[must_use]
+pub fn job(id: &str, items: usize, min_version: u64) -> Value {
+    let item = |n: usize| {
+        json!({
+            "instance_id": format!("{id}-{n}"), "path": format!("/job/{n}"),
+            "headers": {"Model": FLEET_MODEL, "Token-Count": "20,60", "Prompt-Prefix": "a:10,b:10"},
+            "body": "cHJvbXB0", "tokens": 80, "group_id": format!("g{}", n / 4),
+            "scorer_url": {"instance_id": format!("{id}-{n}-score"), "host": FLEET_HOST,
+                "path": "/score/1", "body": "c2NvcmU="},
+        })
+    };
+    let items: Vec<_> = (0..items).map(item).collect();
+    json!({"train_step": 0, "model": FLEET_MODEL, "min_version": min_version,
+        "group_count": items.len() / 4, "items": items})
+}
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod client;
 mod contracts;
+mod fleet;
 mod process;
 mod trial;
 
@@ -23,6 +24,12 @@
 pub use crate::contracts::SAVANNA_KEY;
 pub use crate::contracts::leserbild;
 pub use crate::contracts::savanna;
+pub use crate::fleet::Answer;
+pub use crate::fleet::FLEET_HOST;
+pub use crate::fleet::FLEET_MODEL;
+pub use crate::fleet::Fleet;
+pub use crate::fleet::config;
+pub use crate::fleet::job;
 pub use crate::process::Process;
 pub use crate::trial::Trial;
 pub use crate::trial::eventually;
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -98,6 +98,23 @@
         Ok(Self { child, command, program: name, listen, link, ops })
     }
 
+    /// Starts the program that serves on the platform.
+    pub(crate) fn start_serve(host: &str, store: SocketAddr) -> io::Result<Self> {
+        let (listen, link, ops) = (free_addr()?, free_addr()?, free_addr()?);
+        let command: Vec<String> = vec![
+            format!("--host={host}"),
+            "--data-centre=z1".to_owned(),
+            format!("--listen={listen}"),
+            format!("--ready={link}"),
+            format!("--ops={ops}"),
+            format!("--store={store}"),
+            "--store-parts=2".to_owned(),
+        ];
+        let program = "cassia-serve";
+        let child = spawn(program, &command)?;
+        Ok(Self { child, command, program, listen, link, ops })
+    }
+
     /// Starts the same program again, with the same settings.
     ///
     /// # Errors
@@ -159,12 +176,12 @@
 
 fn spawn(name: &str, arguments: &[String]) -> io::Result<Child> {
     let logs = std::env::var_os("CASSIA_TRIAL_LOGS").is_some();
-    let stderr = if logs { Stdio::inherit() } else { Stdio::null() };
+    let output = || if logs { Stdio::inherit() } else { Stdio::null() };
     Command::new(program(name)?)
         .args(arguments)
         .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(stderr)
+        .stdout(output())
+        .stderr(output())
         .spawn()
 }
 
--- a/crates/trials/tests/programs.rs
+++ b/crates/trials/tests/programs.rs
@@ -181,12 +181,12 @@
     let mut child = program("cassia-entry")
         .args(["--host=h9", "--data-centre=dc1", "--link=127.0.0.1:0", "--ops=127.0.0.1:0"])
         .args(["--listen=127.0.0.1:0", "--list=127.0.0.1:1", &format!("--log={log}")])
-        .stderr(std::process::Stdio::piped())
+        .stdout(std::process::Stdio::piped())
         .spawn()?;
     tokio::time::sleep(std::time::Duration::from_secs(2)).await;
     child.kill()?;
     let output = child.wait_with_output()?;
-    let lines: Vec<Value> = String::from_utf8_lossy(&output.stderr)
+    let lines: Vec<Value> = String::from_utf8_lossy(&output.stdout)
         .lines()
         .map(serde_json::from_str)
         .collect::<Result<_, _>>()?;
