Log each decision within a budget; serve metrics and the state

Cause: on-call engineers had no line for a request's id, and a full pipe would have held requests up. Change: a thread writes from a bounded queue, each kind of event has a budget and the lines left out are counted; counters and histograms are gathered by cadence on a page; cassia-serve serves health, state and metrics.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -307,6 +307,14 @@
         self.of_kind(kind).iter().filter(|t| t.is_open()).map(|t| t.listed.slots).sum()
     }
 
+    /// Tells the requests at a target by its last report, and how old that is.
+    #[must_use]
+    pub fn last_report(&self, target: &Target, now: Instant) -> (u32, Duration) {
+        let at_ms = target.reported_ms.load(Ordering::Relaxed);
+        let age_ms = self.millis(now).saturating_sub(at_ms);
+        (target.others.load(Ordering::Relaxed), Duration::from_millis(age_ms))
+    }
+
     /// Takes a load report in: `load` requests at the target, `callers` of them
     /// not of trainers, `age` ago.
     pub fn reported(&self, target: &Target, load: u32, callers: u32, age: Duration, now: Instant) {
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use cassia_node::Metrics;
+use cassia_node::MetricsPage;
 use cassia_platform::HttpClient;
 use cassia_platform::Store;
 
@@ -20,17 +22,23 @@
     pub(crate) client: HttpClient,
     pub(crate) clock: Box<dyn Clock>,
     pub(crate) shelf: Shelf,
+    pub(crate) metrics: Metrics,
+    /// Where the metrics are read.
+    pub(crate) page: MetricsPage,
     pub(crate) settings: ServeSettings,
 }
 
 impl App {
     pub(crate) fn new(settings: &ServeSettings, store: Arc<dyn Store>) -> Self {
+        let page = MetricsPage::default();
         Self {
             board: Board::new(settings),
             shelf: Shelf::new(Arc::clone(&store), settings.store_parts),
             store,
             client: HttpClient::default(),
             clock: Box::new(BootClock::new()),
+            metrics: Metrics::on_page(&page),
+            page,
             settings: settings.clone(),
         }
     }
--- a/crates/serve/src/board.rs
+++ b/crates/serve/src/board.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Tells the version of the configuration in force; 0 for none.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.routes.load().as_ref().map_or(0, |table| table.version)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
     }
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -107,12 +107,27 @@
         RouteKind::Idempotent => call.repeatable().await,
         _ => call.at_most_once().await,
     };
+    let (id, name) = (head.id.as_str(), route.name.as_str());
+    let (took, config) = (now.elapsed(), app.board.config_version());
+    let took_ms = millis(took);
+    app.metrics.time("request.time", name, took);
     match outcome {
-        Outcome::Answer(answer, _) | Outcome::Failed(answer, _) => pass_on(answer),
+        Outcome::Answer(answer, _) => {
+            let status = answer.status().as_u16();
+            log::info!(event = "request_done", step = "call", id, route = name, status, took_ms, config; "answered");
+            app.metrics.count("request.answered", name);
+            pass_on(answer)
+        }
+        Outcome::Failed(answer, failures) => {
+            let status = answer.status().as_u16();
+            log::info!(event = "request_failed", step = "call", id, route = name, status, failures, took_ms, config; "its targets ran it and failed");
+            app.metrics.count("request.failed", name);
+            pass_on(answer)
+        }
         Outcome::Refused(refusal) => {
-            let (id, route) = (head.id.as_str(), route.name.as_str());
-            let (kind, took_ms) = (format!("{refusal:?}"), millis(now.elapsed()));
-            log::info!(event = "request_refused", step = "call", id, route, kind, took_ms; "refused");
+            let (kind, ran) = (refusal.kind(), refusal.ran());
+            log::info!(event = "request_refused", step = "call", id, route = name, kind, ran, took_ms, config; "no target's answer");
+            app.metrics.count("request.refused", name);
             refusal.answer("call")
         }
     }
@@ -203,6 +218,7 @@
             return None;
         };
         let counted = target.begin()?;
+        log_attempt(self.app, self.id, &counted, tally.sent + 1);
         tally.last_target = Some(target.listed.id.clone());
         tally.sent += 1;
         Some(counted)
@@ -243,6 +259,8 @@
         }
         note_load(self.app, target, &head);
         if head.not_run {
+            let (id, peer, load) = (self.id.as_str(), listed.id.as_str(), head.load);
+            log::info!(event = "attempt_refused", step = "call", id, peer, load, status = answer.status().as_u16(); "the target did not run it");
             return Ended::NotRun;
         }
         match self.app.client.read_body("call", listed.addr, answer, self.deadline).await {
@@ -268,6 +286,14 @@
     }
 }
 
+/// Logs that a request goes to a target, and what the choice rested on.
+pub(crate) fn log_attempt(app: &App, id: &str, target: &Use, attempt: u32) {
+    let (others, age) = app.board.targets.load().last_report(target.target(), Instant::now());
+    let (peer, own) = (target.target().listed.id.as_str(), target.target().in_flight());
+    let age_ms = millis(age);
+    log::info!(event = "attempt", step = "choose", id, peer, attempt, own, others, age_ms; "sent");
+}
+
 /// Takes in what a target's answer says of its load.
 pub(crate) fn note_load(app: &App, target: &Use, head: &RunHead) {
     let targets = app.board.targets.load();
@@ -340,6 +366,6 @@
     status.is_server_error()
 }
 
-fn millis(span: Duration) -> u64 {
+pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout;
 
 use crate::app::App;
+use crate::call::log_attempt;
 use crate::call::note_load;
 
 /// What the engine is told how long the item may take.
@@ -65,6 +66,7 @@
         let listed = &self.engine.target().listed;
         let (addr, id) = (listed.addr, listed.id.as_str());
         let after = text.last();
+        log_attempt(self.app, &self.item.id, self.engine, after.map_or(1, |_| 2));
         let request = item_request(addr, id, self.host, self.item, after, PRIORITY, ITEM_PATIENCE);
         let request = match request {
             Ok(request) => request,
@@ -96,6 +98,8 @@
             _ if head.not_run => {
                 let until = Instant::now() + REFUSED_PAUSE;
                 self.app.board.targets.load().busy(self.engine.target(), until);
+                let (id, peer) = (self.item.id.as_str(), self.engine.target().listed.id.as_str());
+                log::info!(event = "attempt_refused", step = "generate", id, peer, load = head.load, status = answer.status().as_u16(); "the engine did not run it");
                 Generated::Refused
             }
             status if status.is_success() => self.read(answer.into_body(), &head, text).await,
@@ -103,6 +107,8 @@
             StatusCode::INTERNAL_SERVER_ERROR => {
                 let targets = self.app.board.targets.load();
                 targets.erred(self.engine.target(), Instant::now());
+                let (id, peer) = (self.item.id.as_str(), self.engine.target().listed.id.as_str());
+                log::info!(event = "attempt_failed", step = "generate", id, peer; "the engine ran it and failed");
                 Generated::Failed
             }
             status => {
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -178,18 +178,18 @@
 async fn answer(app: &Arc<App>, req: Request<Incoming>) -> Response<Body> {
     let head = read_call(req.uri(), req.headers());
     let Some(table) = app.board.routes.load_full() else {
-        return Refusal::NotConfigured.answer("route");
+        return refuse(app, &head.id, Refusal::NotConfigured);
     };
     if let Some(call) = job_call(req.method(), req.uri(), req.headers()) {
         return job_calls::answer(app, call).await;
     }
     let Some(route) = table.find(&head.host, req.uri().path()).cloned() else {
-        return Refusal::NoRoute.answer("route");
+        return refuse(app, &head.id, Refusal::NoRoute);
     };
     let (parts, body) = req.into_parts();
     let body = match read_body(body, table.limits.body_bytes).await {
         Ok(body) => body,
-        Err(refusal) => return refusal.answer("read the body"),
+        Err(refusal) => return refuse(app, &head.id, refusal),
     };
     match route.kind {
         RouteKind::Job if parts.method == Method::POST => {
@@ -203,6 +203,14 @@
     }
 }
 
+/// Answers a request that no route or limit lets through.
+fn refuse(app: &App, id: &str, refusal: Refusal) -> Response<Body> {
+    let (kind, ran, config) = (refusal.kind(), refusal.ran(), app.board.config_version());
+    log::info!(event = "request_refused", step = "route", id, kind, ran, config; "not passed on");
+    app.metrics.count("request.refused", "none");
+    refusal.answer("route")
+}
+
 fn outgoing(parts: Parts, body: Bytes) -> call::Outgoing {
     call::Outgoing { method: parts.method, uri: parts.uri, headers: parts.headers, body }
 }
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -32,6 +32,7 @@
 use crate::call::Call;
 use crate::call::Outcome;
 use crate::call::Outgoing;
+use crate::call::millis;
 use crate::clock::wall_ms;
 use crate::generate::Generated;
 use crate::generate::Run;
@@ -201,11 +202,21 @@
     }
 
     async fn run_item(self: Arc<Self>, index: u32, slot: Slot) {
+        let begun = Instant::now();
         let Some(result) = self.result(index, slot).await else {
             return;
         };
-        let (id, job, completed) = (result.item.as_str(), result.job.as_str(), result.completed);
-        log::info!(event = "item_done", step = "run", id, job, completed; "done");
+        let (id, job, took) = (result.item.as_str(), result.job.as_str(), begun.elapsed());
+        let took_ms = millis(took);
+        let versions = format!("{:?}", result.versions);
+        if result.completed {
+            log::info!(event = "item_done", step = "run", id, job, versions, took_ms; "done");
+            self.app.metrics.count("item.completed", &self.model);
+        } else {
+            log::info!(event = "item_given_up", step = "run", id, job, took_ms; "given up");
+            self.app.metrics.count("item.given_up", &self.model);
+        }
+        self.app.metrics.time("item.time", &self.model, took);
         // Nobody takes it when the process ends: then it is run again.
         let _ = self.tx.send(result);
     }
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -10,6 +10,7 @@
 mod ingress;
 mod item;
 mod job_calls;
+mod ops;
 mod order;
 mod owner;
 mod reply;
@@ -26,6 +27,7 @@
 use bpaf::Parser;
 use cassia_adapter::HttpStore;
 use cassia_node::HELP_HEADER;
+use cassia_node::log_as;
 use cassia_node::run_program;
 use cassia_node::start_logging;
 use tokio::runtime::Builder;
@@ -45,6 +47,7 @@
 /// A host has one core for this process: more threads would only take turns.
 fn start(settings: ServeSettings) -> anyhow::Result<()> {
     start_logging()?;
+    log_as(&settings.host);
     Builder::new_current_thread().enable_all().build()?.block_on(run(settings))
 }
 
@@ -52,6 +55,7 @@
     let store = Arc::new(HttpStore::new(settings.store));
     let app = Arc::new(App::new(&settings, store));
     log::info!(event = "started", step = "start", host = settings.host.as_str(); "started");
+    let _ops = settings.ops.map(|addr| ops::start(&app, addr)).transpose()?;
     let serving = ingress::start(&settings, &app).await?;
     tokio::spawn(config::run(Arc::clone(&app)));
     tokio::spawn(targets::run(Arc::clone(&app)));
@@ -63,5 +67,6 @@
         task.await?;
     }
     log::info!(event = "stopped", step = "stop"; "stopped");
+    log::logger().flush();
     Ok(())
 }
--- a/crates/serve/src/reply.rs
+++ b/crates/serve/src/reply.rs
@@ -55,7 +55,8 @@
         }
     }
 
-    fn kind(self) -> &'static str {
+    /// Its machine-readable name.
+    pub(crate) fn kind(self) -> &'static str {
         match self {
             Self::NotConfigured => "not_configured",
             Self::NoRoute => "no_route",
@@ -69,6 +70,14 @@
         }
     }
 
+    /// Whether the request may have run.
+    pub(crate) fn ran(self) -> &'static str {
+        match self {
+            Self::Lost | Self::TooLate => "unknown",
+            _ => "not_run",
+        }
+    }
+
     fn come_back(self) -> Option<&'static str> {
         match self {
             Self::NotConfigured | Self::StoreAway => Some(LATER),
@@ -79,7 +88,7 @@
 
     /// Builds the answer; `step` is what was being done.
     pub(crate) fn answer(self, step: &str) -> Response<Body> {
-        let body = json!({"kind": self.kind(), "step": step}).to_string();
+        let body = json!({"kind": self.kind(), "step": step, "ran": self.ran()}).to_string();
         let mut answer = json_answer(self.status(), body.into());
         if let Some(when) = self.come_back() {
             answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(when));
--- a/crates/serve/src/submit.rs
+++ b/crates/serve/src/submit.rs
@@ -69,6 +69,7 @@
     let took_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
     let (id, items, step, fate) =
         (head.id.as_str(), job.items.len(), job.step, format!("{taken:?}"));
+    app.metrics.time("job.accept", &route.name, begun.elapsed());
     log::info!(event = "job_submitted", step = "submit", id, items, train_step = step, fate, took_ms; "submitted");
     match taken {
         Taken::InTheLog => json_answer(StatusCode::ACCEPTED, Bytes::from_static(b"{}")),
@@ -91,7 +92,10 @@
         if read.is_ok() {
             let deadline = (Instant::now() + CALL_TIMEOUT).min(until);
             match app.shelf.append(partition, records, deadline).await {
-                Ok(_) => return Taken::InTheLog,
+                Ok(appended) => {
+                    log::info!(event = "job_accepted", step = "submit", id = job, partition, offset = appended.offset; "in the log");
+                    return Taken::InTheLog;
+                }
                 Err(e) if e.kind == StoreErrorKind::NotDone => {}
                 Err(e) => {
                     taken = Taken::Unknown;
