--- /dev/null
+++ b/crates/lease/tests/seat.rs
@@ -0,0 +1,160 @@
+//! Seats that read one stream late, in pieces and with gaps never hold the
+//! lease at the same moment, and their fencing numbers only rise.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_lease::Contender;
+use cassia_lease::LeaseRecord;
+use cassia_lease::Move;
+use cassia_lease::Seat;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const TERM: Duration = Duration::from_millis(1_800);
+const STEP: Duration = Duration::from_millis(100);
+/// Records that the stream keeps, in the test of retention.
+const KEPT: usize = 12;
+const PER_SNAPSHOT: u64 = 4;
+
+/// The stream, with its retention.
+#[derive(Default)]
+struct Stream {
+    first: u64,
+    records: Vec<LeaseRecord>,
+}
+
+impl Stream {
+    fn append(&mut self, record: LeaseRecord) {
+        self.records.push(record);
+    }
+
+    fn expire(&mut self) {
+        let gone = self.records.len().saturating_sub(KEPT);
+        self.records.drain(..gone);
+        self.first += gone as u64;
+    }
+
+    fn read_into(&self, seat: &mut Seat, now: Instant) {
+        let end = self.first + self.records.len() as u64;
+        let from = seat.next_read().max(self.first);
+        let skip = usize::try_from(from - self.first).expect("short");
+        let records: Vec<_> = self.records[skip..].iter().cloned().map(Some).collect();
+        seat.take(self.first, from, &records, end, now);
+    }
+}
+
+/// What happens to a seat in one step of time.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    /// It reads and acts.
+    Runs,
+    /// It does nothing, as if it were frozen or cut off.
+    Pauses,
+    /// It reads, and what it appends comes in three steps later.
+    AppendsLate,
+    /// It reads, and what it appends is lost.
+    AppendIsLost,
+    /// It lets go.
+    LetsGo,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        8 => Just(Fate::Runs),
+        3 => Just(Fate::Pauses),
+        1 => Just(Fate::AppendsLate),
+        1 => Just(Fate::AppendIsLost),
+        1 => Just(Fate::LetsGo),
+    ]
+}
+
+/// Plays a contest of three; gives how often somebody held the lease.
+fn play(fates: &[[Fate; 3]], expire: bool) -> usize {
+    let begun = Instant::now();
+    let mut stream = Stream::default();
+    let seat = |n: u64| {
+        let contender = Contender::new("orders".into(), "h".into(), n, TERM, begun);
+        Seat::new(contender, PER_SNAPSHOT)
+    };
+    let mut seats: Vec<_> = (0..3).map(seat).collect();
+    let mut late: Vec<(usize, LeaseRecord)> = Vec::new();
+    let (mut highest, mut held) = (0, 0);
+    for (tick, fates) in fates.iter().enumerate() {
+        let now = begun + STEP * u32::try_from(tick).expect("short");
+        for (_, record) in late.extract_if(.., |(at, _)| *at <= tick) {
+            stream.append(record);
+        }
+        for (seat, fate) in seats.iter_mut().zip(fates) {
+            if matches!(fate, Fate::Pauses) {
+                continue;
+            }
+            stream.read_into(seat, now);
+            if matches!(fate, Fate::LetsGo) {
+                if let Some(act) = seat.release(now) {
+                    stream.append(LeaseRecord::Act(act));
+                }
+                continue;
+            }
+            if let Some(Move::Append(record)) = seat.step(now) {
+                match fate {
+                    Fate::AppendsLate => late.push((tick + 3, record)),
+                    Fate::AppendIsLost => {}
+                    _ => stream.append(record),
+                }
+            }
+        }
+        if expire {
+            stream.expire();
+        }
+        let holders: Vec<_> = seats.iter().filter_map(|seat| seat.holding(now)).collect();
+        assert!(holders.len() <= 1, "at step {tick}: {holders:?}");
+        for holder in holders {
+            assert!(holder.fence >= highest, "a fencing number never falls");
+            highest = holder.fence;
+            held += 1;
+        }
+    }
+    held
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_500,
+        rng_seed: RngSeed::Fixed(17),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_two_hold_it_at_once(
+        fates in prop::collection::vec([fate(), fate(), fate()], 0..150),
+    ) {
+        play(&fates, false);
+    }
+
+    #[test]
+    fn nor_when_old_records_expire(
+        fates in prop::collection::vec([fate(), fate(), fate()], 0..150),
+    ) {
+        play(&fates, true);
+    }
+}
+
+#[test]
+fn on_a_calm_day_somebody_holds_it_nearly_all_the_time() {
+    let held = play(&[[Fate::Runs; 3]; 200], true);
+    assert!(held > 160, "{held} of 200 steps");
+}
+
+#[test]
+fn a_seat_that_has_not_read_to_the_end_does_not_contend() {
+    let now = Instant::now();
+    let contender = Contender::new("orders".into(), "h".into(), 1, TERM, now);
+    let mut seat = Seat::new(contender, PER_SNAPSHOT);
+    let later = now + 2 * TERM;
+    assert_eq!(seat.step(later), None);
+    seat.take(0, 0, &[], 5, later);
+    assert_eq!(seat.step(later), None, "five records are still to be read");
+    seat.take(0, 0, &[const { None }; 5], 5, later);
+    assert!(matches!(seat.step(later), Some(Move::Append(_))));
+}
--- /dev/null
+++ b/crates/orders/tests/swap.rs
@@ -0,0 +1,104 @@
+//! Engines load a named version a few at a time, each once.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_orders::EngineState;
+use cassia_orders::Swaps;
+use rstest::rstest;
+
+fn engine(n: usize, version: u64) -> EngineState {
+    EngineState {
+        id: format!("e{n:02}").into(),
+        started_ms: 1,
+        version: Some(version),
+        leaving: false,
+        load: 0,
+    }
+}
+
+/// Plays a change of version on engines that take a fixed time to load; gives
+/// the loads and the time until all are done.
+fn play(count: usize, load: Duration) -> (usize, Duration) {
+    let begun = Instant::now();
+    let mut engines: Vec<_> = (0..count).map(|n| engine(n, 1)).collect();
+    let (mut swaps, mut loads, mut under_way) = (Swaps::default(), 0, Vec::new());
+    for tick in 0..1_000_u32 {
+        let now = begun + Duration::from_millis(50) * tick;
+        under_way.retain(|(n, done): &(usize, Instant)| {
+            if now >= *done {
+                engines[*n].version = Some(2);
+            }
+            now < *done
+        });
+        if engines.iter().all(|engine| engine.version == Some(2)) {
+            return (loads, now - begun);
+        }
+        for id in swaps.next(&engines, 2, now) {
+            let n = engines.iter().position(|engine| engine.id == id).expect("it is one of them");
+            swaps.loads(&engines[n], 2, now);
+            under_way.push((n, now + load));
+            loads += 1;
+        }
+        assert!(under_way.len() <= count.div_ceil(5).max(1) + 1, "enough are left to serve");
+    }
+    panic!("never done");
+}
+
+#[rstest]
+#[case::today(9, 5)]
+#[case::grown(36, 7)]
+#[case::one(1, 2)]
+fn every_engine_loads_once_within_seconds(#[case] count: usize, #[case] most_s: u64) {
+    let (loads, took) = play(count, Duration::from_millis(900));
+    assert_eq!(loads, count);
+    assert!(took <= Duration::from_secs(most_s), "{took:?}");
+}
+
+#[test]
+fn an_engine_that_refused_is_asked_again_and_one_that_stays_silent_too() {
+    let now = Instant::now();
+    let engines = [engine(0, 1)];
+    let mut swaps = Swaps::default();
+    assert_eq!(swaps.next(&engines, 2, now).len(), 1);
+    swaps.refused(&engines[0], 2, now);
+    assert!(swaps.next(&engines, 2, now).is_empty());
+    let later = now + Duration::from_secs(1);
+    assert_eq!(swaps.next(&engines, 2, later).len(), 1);
+    swaps.loads(&engines[0], 2, later);
+    assert_eq!(swaps.under_way().count(), 1);
+    assert!(swaps.next(&engines, 2, later + Duration::from_secs(1)).is_empty());
+    assert_eq!(swaps.next(&engines, 2, later + Duration::from_secs(3)).len(), 1);
+}
+
+#[test]
+fn the_furthest_behind_and_least_busy_go_first_and_the_leaving_never() {
+    let mut engines: Vec<_> = (0..4).map(|n| engine(n, 2)).collect();
+    engines[0].load = 9;
+    engines[1].leaving = true;
+    engines[2].version = None;
+    engines.push(engine(4, 1));
+    let mut swaps = Swaps::default();
+    let now = Instant::now();
+    let mut order = Vec::new();
+    for _ in 0..5 {
+        for id in swaps.next(&engines, 3, now) {
+            let found = engines.iter_mut().find(|engine| engine.id == id).expect("one of them");
+            found.version = Some(3);
+            order.push(id);
+        }
+    }
+    assert_eq!(order, ["e04", "e03", "e00"]);
+}
+
+#[test]
+fn a_restarted_engine_is_judged_by_what_it_has_now() {
+    let now = Instant::now();
+    let mut engines = vec![engine(0, 1)];
+    let mut swaps = Swaps::default();
+    swaps.loads(&engines[0], 2, now);
+    engines[0].started_ms = 2;
+    let ids: BTreeSet<_> = swaps.next(&engines, 2, now).into_iter().collect();
+    assert_eq!(ids.len(), 1);
+}
--- /dev/null
+++ b/crates/route/tests/routing.rs
@@ -0,0 +1,56 @@
+//! A request finds its route by host and longest prefix.
+
+use cassia_route::CallerLimits;
+use cassia_route::JobLimits;
+use cassia_route::Route;
+use cassia_route::RouteKind;
+use cassia_route::RouteTable;
+use rstest::rstest;
+
+fn route(name: &str, host: &str, prefix: &str, split: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout_ms: 1_000,
+        goal_ms: 100,
+        max_attempts: 2,
+        priority: 0,
+        split: split.iter().map(|(name, weight)| ((*name).into(), *weight)).collect(),
+        job: JobLimits::default(),
+    }
+}
+
+fn table() -> RouteTable {
+    let routes = vec![
+        route("short", "a.example", "/x/", &[("s", 1)]),
+        route("long", "a.example", "/x/y/", &[("s", 1)]),
+        route("other", "b.example", "/x/", &[("s", 1)]),
+    ];
+    RouteTable::new(3, CallerLimits::default(), routes)
+}
+
+#[rstest]
+#[case::short("a.example", "/x/1", Some("short"))]
+#[case::long("a.example", "/x/y/1", Some("long"))]
+#[case::no_whole_segment("a.example", "/x/y", Some("short"))]
+#[case::with_port("a.example:80", "/x/1", Some("short"))]
+#[case::other_host("b.example", "/x/y/1", Some("other"))]
+#[case::unknown_host("c.example", "/x/1", None)]
+#[case::unknown_path("a.example", "/z/1", None)]
+#[case::prefix_itself_without_its_slash("a.example", "/x", None)]
+fn a_request_finds(#[case] host: &str, #[case] path: &str, #[case] expected: Option<&str>) {
+    let table = table();
+    assert_eq!(table.find(host, path).map(|route| route.name.as_str()), expected);
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let split = route("r", "h", "/", &[("a", 90), ("none", 0), ("b", 10)]);
+    let picked = |random| split.service(random).expect("a service").to_string();
+    let a = (0..100).filter(|random| picked(*random) == "a").count();
+    let b = (0..100).filter(|random| picked(*random) == "b").count();
+    assert_eq!((a, b), (90, 10));
+    assert_eq!(route("r", "h", "/", &[]).service(1), None);
+}
--- /dev/null
+++ b/crates/route/tests/slots.rs
@@ -0,0 +1,143 @@
+//! Load patterns of work that can wait for a slot: groups that share a prompt,
+//! one slow or broken engine, and engines that refuse for a moment.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_route::Listed;
+use cassia_route::TargetKind;
+use cassia_route::TargetSet;
+use cassia_route::Use;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const SLOTS: u32 = 8;
+
+fn kind() -> TargetKind {
+    TargetKind::Service { name: "lm".into() }
+}
+
+fn set(now: Instant, engines: usize) -> TargetSet {
+    let listed = |n: usize| Listed {
+        id: format!("e{n}").into(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: "z".into(),
+        what: kind(),
+        incarnation: 1,
+        leaving: false,
+        slots: SLOTS,
+        checks_fence: false,
+    };
+    let listed: Vec<_> = (0..engines).map(listed).collect();
+    TargetSet::empty(now).updated(&listed)
+}
+
+fn take(set: &TargetSet, prefer: Option<&str>, now: Instant) -> Option<Use> {
+    let mut rng = SmallRng::seed_from_u64(1);
+    set.with_free_slot(&kind(), |_| true, prefer, &mut rng, now)?.begin()
+}
+
+/// Pattern: a step's groups of four arrive at once.
+#[test]
+fn a_step_fills_every_slot_once_and_then_waits() {
+    let now = Instant::now();
+    let set = set(now, 3);
+    let mut used = Vec::new();
+    while let Some(slot) = take(&set, None, now) {
+        used.push(slot);
+    }
+    assert_eq!(used.len(), 3 * SLOTS as usize);
+    assert!(set.all().all(|target| target.in_flight() == SLOTS));
+    used.pop();
+    assert!(take(&set, None, now).is_some(), "a slot that is free again is used");
+}
+
+/// Pattern: the samples of a group share their prompt.
+#[test]
+fn a_group_stays_together_while_its_engine_has_slots() {
+    let now = Instant::now();
+    let set = set(now, 3);
+    let first = take(&set, None, now).expect("a slot");
+    let home = first.target().listed.id.clone();
+    let rest: Vec<_> = (0..9).filter_map(|_| take(&set, Some(&home), now)).collect();
+    let there = rest.iter().filter(|slot| slot.target().listed.id == home).count();
+    assert_eq!(there, SLOTS as usize - 1, "until it is full");
+    assert_eq!(rest.len(), 9, "and then elsewhere");
+}
+
+/// Pattern: another process's step runs on the same engines.
+#[test]
+fn what_others_run_counts_until_the_report_is_old() {
+    let now = Instant::now();
+    let set = set(now, 2);
+    let busy = set.all().next().expect("one").clone();
+    set.reported(&busy, SLOTS, SLOTS, Duration::ZERO, now);
+    let slots: Vec<_> = (0..4).filter_map(|_| take(&set, None, now)).collect();
+    assert!(slots.iter().all(|slot| slot.target().listed.id != busy.listed.id));
+    let later = now + Duration::from_secs(10);
+    let slots: Vec<_> = (0..8).filter_map(|_| take(&set, None, later)).collect();
+    assert!(slots.iter().any(|slot| slot.target().listed.id == busy.listed.id));
+}
+
+/// Pattern: an engine loads weights and refuses what is new.
+#[test]
+fn an_engine_that_refuses_is_left_alone_for_a_moment() {
+    let now = Instant::now();
+    let set = set(now, 2);
+    let busy = set.all().next().expect("one").clone();
+    set.busy(&busy, now + Duration::from_millis(150));
+    for _ in 0..4 {
+        let slot = take(&set, Some(&busy.listed.id), now).expect("a slot");
+        assert_ne!(slot.target().listed.id, busy.listed.id);
+    }
+    let later = now + Duration::from_millis(200);
+    let slot = take(&set, Some(&busy.listed.id), later).expect("a slot");
+    assert_eq!(slot.target().listed.id, busy.listed.id);
+}
+
+/// Pattern: an engine answers a part of its requests with its own failure.
+#[test]
+fn failures_in_a_row_put_an_engine_in_doubt_and_a_success_clears_it() {
+    let now = Instant::now();
+    let set = set(now, 2);
+    let bad = set.all().next().expect("one").clone();
+    let is_used = |now| {
+        let used: Vec<_> = (0..16).filter_map(|_| take(&set, None, now)).collect();
+        used.iter().any(|slot| slot.target().listed.id == bad.listed.id)
+    };
+    set.erred(&bad, now);
+    set.erred(&bad, now);
+    set.succeeded(&bad);
+    set.erred(&bad, now);
+    assert!(is_used(now), "one failure says as much of the request");
+    set.erred(&bad, now);
+    set.erred(&bad, now);
+    assert!(!is_used(now));
+    assert!(is_used(now + Duration::from_secs(2)), "it is tried again");
+}
+
+/// Pattern: a whole step's requests fail at an engine in the same moment.
+#[test]
+fn requests_that_fail_together_count_once() {
+    let now = Instant::now();
+    let set = set(now, 2);
+    let bad = set.all().next().expect("one").clone();
+    for _ in 0..SLOTS {
+        set.failed(&bad, now);
+    }
+    let later = now + Duration::from_millis(1_100);
+    let slot = take(&set, Some(&bad.listed.id), later).expect("a slot");
+    assert_eq!(slot.target().listed.id, bad.listed.id, "avoided for one second, not for many");
+}
+
+/// Pattern: all engines are in doubt, after a cut that is over.
+#[test]
+fn if_all_are_in_doubt_each_is_tried_with_one_request() {
+    let now = Instant::now();
+    let set = set(now, 3);
+    for target in set.all() {
+        set.failed(target, now);
+    }
+    let slots: Vec<_> = std::iter::from_fn(|| take(&set, None, now)).collect();
+    assert_eq!(slots.len(), 3);
+}
