Put silent targets in doubt, and none at a request's own deadline; explain ids

(2) behind a cut nothing fails: each request chose the silent target anew and paid the time until the second try. Change: the connection is given up later than the request; a target that two requests in a row were given up at without an answer is in doubt. cassiactl explain tells from logs what became of an id.

--- a/crates/ctl/src/flags.rs
+++ b/crates/ctl/src/flags.rs
@@ -61,6 +61,14 @@
         #[bpaf(positional("CUSTOMER"))]
         customer: String,
     },
+    /// Explain what became of a request, an item or a batch job, by the logs
+    /// of all hosts on standard input
+    #[bpaf(command)]
+    Explain {
+        /// The id of the request, item or batch job
+        #[bpaf(positional("ID"))]
+        id: String,
+    },
     /// Show the contract in force
     #[bpaf(command)]
     Show {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod flags;
 mod processes;
 
+use std::io::Read;
 use std::process::ExitCode;
 
 use crate::flags::Command;
@@ -47,12 +48,27 @@
         }
         Command::Show { log, customer } => contracts::show(&out, log, &customer).await,
         Command::History { log, customer } => contracts::history(&out, log, &customer).await,
+        Command::Explain { id } => explain(&out, &id),
         Command::Status { ops } => processes::status(&out, &ops).await,
         Command::Dump { ops } => processes::dump(&out, ops).await,
     };
     ended.into()
 }
 
+/// Explains an id by the logs on standard input.
+fn explain(out: &Printer, id: &str) -> Ended {
+    let mut logs = String::new();
+    if let Err(e) = std::io::stdin().read_to_string(&mut logs) {
+        out.failure(&format!("the logs can't be read: {e}"));
+        return Ended::Faulty;
+    }
+    let explained = cassia_explain::explain(id, logs.lines());
+    let lines: Vec<_> = explained.lines.iter().map(ToString::to_string).collect();
+    let json = serde_json::json!({"id": id, "lines": lines, "verdict": explained.verdict});
+    out.result(&explained.to_string(), &json);
+    if explained.lines.is_empty() { Ended::Refused } else { Ended::Done }
+}
+
 /// Prints results, as text or as JSON.
 #[derive(Debug)]
 pub(crate) struct Printer {
--- /dev/null
+++ b/crates/explain/src/verdict.rs
@@ -0,0 +1,156 @@
+//! What decided, by the lines of one id.
+
+use std::fmt;
+
+use crate::Line;
+
+/// What became of an id.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Explained {
+    /// The id.
+    pub id: String,
+    /// Its lines, in the order of their time.
+    pub lines: Vec<Line>,
+    /// What decided, in a sentence.
+    pub verdict: String,
+}
+
+impl fmt::Display for Explained {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for line in &self.lines {
+            writeln!(f, "{line}")?;
+        }
+        write!(f, "{}", self.verdict)
+    }
+}
+
+/// Says what decided.
+pub(crate) fn decide(id: &str, lines: &[Line]) -> String {
+    let last = |event: &str| lines.iter().rev().find(|line| line.event() == event);
+    if lines.is_empty() {
+        return format!(
+            "{id}: no line tells of it; it reached no host, or its lines were left out"
+        );
+    }
+    if let Some(line) = last("request_refused") {
+        return refused(id, line, lines);
+    }
+    if let Some(line) = last("request_failed") {
+        return format!(
+            "{id}: failed after it ran: {} answers of the targets' own failure, the last with \
+             status {} from {}",
+            value(line, "failures"),
+            value(line, "status"),
+            last_peer(lines),
+        );
+    }
+    if let Some(line) = last("item_given_up") {
+        return given_up(id, line, lines);
+    }
+    if let Some(line) = last("job_submitted") {
+        return job(id, line, lines);
+    }
+    if let Some(line) = last("item_done") {
+        return format!(
+            "{id}: done in {} ms by versions {}{}",
+            value(line, "took_ms"),
+            value(line, "versions"),
+            detours(lines),
+        );
+    }
+    if let Some(line) = last("request_done") {
+        return format!(
+            "{id}: answered with status {} in {} ms by {}{}",
+            value(line, "status"),
+            value(line, "took_ms"),
+            last_peer(lines),
+            detours(lines),
+        );
+    }
+    format!("{id}: not over by these lines{}", detours(lines))
+}
+
+fn refused(id: &str, line: &Line, lines: &[Line]) -> String {
+    let why = match value(line, "kind").as_str() {
+        "no_route" => "no route of the configuration in force fits".to_owned(),
+        "not_configured" => "the host had read no configuration yet".to_owned(),
+        "no_target" => format!("no target would take it{}", detours(lines)),
+        "deadline_passed" => format!("its time was over before an answer{}", detours(lines)),
+        "target_failed" => format!("no target's answer came whole{}", detours(lines)),
+        "store_away" => "the store could not be asked".to_owned(),
+        other => format!("it was {}", other.replace('_', " ")),
+    };
+    format!(
+        "{id}: refused by {} after {} ms under configuration {} ({}): {why}",
+        line.host(),
+        value(line, "took_ms"),
+        value(line, "config"),
+        value(line, "ran").replace('_', " "),
+    )
+}
+
+fn given_up(id: &str, line: &Line, lines: &[Line]) -> String {
+    format!("{id}: given up after {} ms{}", value(line, "took_ms"), detours(lines))
+}
+
+fn job(id: &str, submitted: &Line, lines: &[Line]) -> String {
+    let find = |event: &str| lines.iter().find(|line| line.event() == event);
+    let mut text = match value(submitted, "fate").as_str() {
+        "InTheLog" => format!("{id}: accepted in {} ms", value(submitted, "took_ms")),
+        "NotThere" => return format!("{id}: refused, since the store could not be asked"),
+        _ => return format!("{id}: not known to be accepted: an append to the log had no answer"),
+    };
+    match find("job_begun") {
+        Some(line) => text.push_str(&format!(", begun by {}", line.host())),
+        None => text.push_str(", begun by nobody"),
+    }
+    let done = lines.iter().filter(|line| line.event() == "item_done");
+    let slowest = done.clone().max_by_key(|line| value(line, "took_ms").parse::<u64>().ok());
+    text.push_str(&format!(", {} of {} items done", done.count(), value(submitted, "items")));
+    if let Some(line) = slowest {
+        let (item, took) = (value(line, "id"), value(line, "took_ms"));
+        text.push_str(&format!(", the slowest {item} in {took} ms"));
+    }
+    let given_up = lines.iter().filter(|line| line.event() == "item_given_up").count();
+    if given_up > 0 {
+        text.push_str(&format!(", {given_up} given up"));
+    }
+    if let Some(line) = find("job_ended") {
+        text.push_str(&format!(", ended at {}", line.time));
+    }
+    text
+}
+
+/// What went wrong on the way, if anything.
+fn detours(lines: &[Line]) -> String {
+    let count = |event: &str| lines.iter().filter(|line| line.event() == event).count();
+    let mut parts = Vec::new();
+    for (event, what) in [
+        ("attempt_refused", "refused by a full target"),
+        ("attempt_failed", "failed at a target"),
+        ("run_broke_off", "broke off"),
+        ("run_misfit", "did not fit"),
+        ("foreign_answer", "got another request's answer"),
+    ] {
+        let count = count(event);
+        if count > 0 {
+            parts.push(format!("{what} {count} times"));
+        }
+    }
+    let last = lines.iter().rev().find(|line| {
+        ["attempt_failed", "run_broke_off", "attempt_refused"].contains(&line.event().as_str())
+    });
+    if let Some(line) = last {
+        parts.push(format!("last at {}: {}", value(line, "peer"), line.message));
+    }
+    if parts.is_empty() { String::new() } else { format!("; {}", parts.join(", ")) }
+}
+
+fn last_peer(lines: &[Line]) -> String {
+    let attempt = lines.iter().rev().find(|line| line.event() == "attempt");
+    attempt.map_or_else(|| "a target".to_owned(), |line| value(line, "peer"))
+}
+
+fn value(line: &Line, name: &str) -> String {
+    line.value(name).unwrap_or_else(|| "?".to_owned())
+}
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -29,7 +29,7 @@
 /// Lines that wait to be written at most.
 const QUEUED_LINES: usize = 512;
 /// Lines of one kind a second.
-const LINES_A_SECOND: u32 = 60;
+const LINES_A_SECOND: u32 = 120;
 /// Lines of one kind a second where each tells of a request that got no answer
 /// from a target.
 const FAILURE_LINES_A_SECOND: u32 = 300;
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -33,6 +33,8 @@
 /// How long a target is avoided after a failure; twice as long after each more.
 const FIRST_AVOIDED: Duration = Duration::from_secs(1);
 const MOST_DOUBLINGS: u32 = 5;
+/// Requests without an answer, one after the other, that put it in doubt.
+const OVERTAKEN_IN_A_ROW: u32 = 2;
 /// Failures of a target's own, one after the other, that put it in doubt.
 const ERRORS_IN_A_ROW: u32 = 3;
 /// A score counts requests a slot in units of one over this.
@@ -123,6 +125,8 @@
     failures: AtomicU32,
     /// Requests that it ran and answered with its own failure, in a row.
     errors: AtomicU32,
+    /// Requests in a row that another target answered first.
+    overtaken: AtomicU32,
     /// Until when it is avoided after a failure.
     avoided_until_ms: AtomicU64,
 }
@@ -164,6 +168,7 @@
             unreachable: AtomicBool::new(false),
             failures: AtomicU32::new(0),
             errors: AtomicU32::new(0),
+            overtaken: AtomicU32::new(0),
             avoided_until_ms: AtomicU64::new(0),
         }
     }
@@ -318,6 +323,7 @@
     /// Takes a load report in: `load` requests at the target, `callers` of them
     /// not of trainers, `age` ago.
     pub fn reported(&self, target: &Target, load: u32, callers: u32, age: Duration, now: Instant) {
+        target.overtaken.store(0, Ordering::Relaxed);
         target.callers.store(callers, Ordering::Relaxed);
         let other_callers = callers.saturating_sub(target.in_flight());
         target.other_callers.store(other_callers, Ordering::Relaxed);
@@ -394,6 +400,7 @@
     /// Takes in that a request succeeded at a target.
     pub fn succeeded(&self, target: &Target) {
         target.errors.store(0, Ordering::Relaxed);
+        target.overtaken.store(0, Ordering::Relaxed);
         target.failures.store(0, Ordering::Relaxed);
         target.avoided_until_ms.store(0, Ordering::Relaxed);
     }
@@ -409,6 +416,18 @@
         }
     }
 
+    /// Takes in that a request was given up at a target that had given no
+    /// answer in a time in which others do.
+    ///
+    /// One may have been a long request; several in a row put the target in
+    /// doubt, as behind a cut, where nothing ever fails.
+    pub fn overtaken(&self, target: &Target, now: Instant) {
+        let overtaken = target.overtaken.fetch_add(1, Ordering::Relaxed) + 1;
+        if overtaken >= OVERTAKEN_IN_A_ROW {
+            self.failed(target, now);
+        }
+    }
+
     /// Takes in that a target refused a request because it is full or busy:
     /// it is avoided until then, without being in doubt.
     pub fn busy(&self, target: &Target, until: Instant) {
--- a/crates/route/tests/slots.rs
+++ b/crates/route/tests/slots.rs
@@ -116,6 +116,25 @@
     assert!(is_used(now + Duration::from_secs(2)), "it is tried again");
 }
 
+/// Pattern: a cut, behind which nothing fails and nothing answers.
+#[test]
+fn a_target_that_is_overtaken_again_and_again_is_in_doubt_and_an_answer_clears_it() {
+    let now = Instant::now();
+    let set = set(now, 2);
+    let silent = set.all().next().expect("one").clone();
+    let is_used = |now| {
+        let used: Vec<_> = (0..16).filter_map(|_| take(&set, None, now)).collect();
+        used.iter().any(|slot| slot.target().listed.id == silent.listed.id)
+    };
+    set.overtaken(&silent, now);
+    assert!(is_used(now), "one may have been a long request");
+    set.reported(&silent, 0, 0, Duration::ZERO, now);
+    set.overtaken(&silent, now);
+    assert!(is_used(now), "it answered in between");
+    set.overtaken(&silent, now);
+    assert!(!is_used(now));
+}
+
 /// Pattern: a whole step's requests fail at an engine in the same moment.
 #[test]
 fn requests_that_fail_together_count_once() {
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -39,6 +39,10 @@
 /// A second target is tried when the first has not answered after this part
 /// of the time within which an answer is of full use.
 const SECOND_TRY_AFTER_PERCENT: u32 = 55;
+/// A shorter goal, in milliseconds, would try a second target at once.
+const LEAST_GOAL_MS: u64 = 20;
+/// How much later than a request's deadline its connection is given up.
+const DEADLINE_SLACK: Duration = Duration::from_millis(200);
 /// Refusals by full targets that a request may meet beyond its attempts.
 const MOST_REFUSALS: u32 = 3;
 /// Pause after a target refused a request because it is full.
@@ -159,7 +163,7 @@
             if running.is_empty() {
                 return tally.give_up();
             }
-            let second = Instant::now() + self.route_goal() * SECOND_TRY_AFTER_PERCENT / 100;
+            let second = Instant::now() + self.second_try_after();
             tokio::select! {
                 Some(ended) = running.next() => {
                     if let Some(outcome) = tally.take(ended) {
@@ -191,17 +195,16 @@
                     tally.refusals += 1;
                     tokio::time::sleep(REFUSED_PAUSE).await;
                 }
-                Ok(Ended::Unknown) if Instant::now() < self.deadline => {
-                    return Outcome::Refused(Refusal::Lost);
-                }
-                Ok(Ended::Unknown) | Err(_) => return Outcome::Refused(Refusal::TooLate),
+                Ok(Ended::Unknown) => return Outcome::Refused(Refusal::Lost),
+                Err(_) => return Outcome::Refused(Refusal::TooLate),
             }
         }
         tally.give_up()
     }
 
-    fn route_goal(&self) -> Duration {
-        Duration::from_millis(self.route.goal_ms.max(20))
+    fn second_try_after(&self) -> Duration {
+        let goal = Duration::from_millis(self.route.goal_ms.max(LEAST_GOAL_MS));
+        goal * SECOND_TRY_AFTER_PERCENT / 100
     }
 
     /// Chooses the next target; none if no attempt is left or none is open.
@@ -241,9 +244,15 @@
         let Ok(request) = request else {
             return Ended::NotRun;
         };
-        let client = &self.app.client;
-        match client.send_any("call", listed.addr, request, self.deadline).await {
-            Ok(answer) => self.judge(&target, answer).await,
+        let mut unanswered = Unanswered::new(self.app, &target, self.second_try_after());
+        // Whoever waits for this ends it at the deadline: a target that is not
+        // done by then has not failed.
+        let deadline = self.deadline + DEADLINE_SLACK;
+        match self.app.client.send_any("call", listed.addr, request, deadline).await {
+            Ok(answer) => {
+                unanswered.answered();
+                self.judge(&target, answer).await
+            }
             Err(e) => self.failed(&target, &e),
         }
     }
@@ -263,7 +272,8 @@
             log::info!(event = "attempt_refused", step = "call", id, peer, load, status = answer.status().as_u16(); "the target did not run it");
             return Ended::NotRun;
         }
-        match self.app.client.read_body("call", listed.addr, answer, self.deadline).await {
+        let deadline = self.deadline + DEADLINE_SLACK;
+        match self.app.client.read_body("call", listed.addr, answer, deadline).await {
             Ok(answer) => {
                 let targets = self.app.board.targets.load();
                 if is_own_failure(answer.status()) {
@@ -294,6 +304,35 @@
     log::info!(event = "attempt", step = "choose", id, peer, attempt, own, others, age_ms; "sent");
 }
 
+/// A request at a target that has given no answer yet; if it is dropped after
+/// a time in which others answer, that counts against the target.
+#[derive(Debug)]
+struct Unanswered<'a> {
+    app: &'a App,
+    target: &'a Use,
+    late_from: Instant,
+    is_answered: bool,
+}
+
+impl<'a> Unanswered<'a> {
+    fn new(app: &'a App, target: &'a Use, usual: Duration) -> Self {
+        Self { app, target, late_from: Instant::now() + usual, is_answered: false }
+    }
+
+    fn answered(&mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        if !self.is_answered && now >= self.late_from {
+            self.app.board.targets.load().overtaken(self.target.target(), now);
+        }
+    }
+}
+
 /// Takes in what a target's answer says of its load.
 pub(crate) fn note_load(app: &App, target: &Use, head: &RunHead) {
     let targets = app.board.targets.load();
--- a/crates/trials/tests/platform.rs
+++ b/crates/trials/tests/platform.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use cassia_standin::StoreFaults;
 use cassia_standin::TargetFaults;
+use cassia_standin::TargetSpec;
 use cassia_trials::Fleet;
 use cassia_trials::Process;
 use cassia_trials::config;
@@ -312,6 +313,32 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn at_its_own_deadline_a_request_gets_its_final_answer() -> anyhow::Result<()> {
+    let mut fleet = Fleet::start().await?;
+    let spec = TargetSpec {
+        id: "slow".to_owned(),
+        service: "intake".to_owned(),
+        model: None,
+        events: 0,
+        step: Duration::from_millis(900),
+    };
+    fleet.add_target(spec).await?;
+    let processes = start(&fleet, 1).await?;
+    let process = &processes[0].1;
+    let answered = || async { fleet.request(process, "/quote/1", "r0").await.status == 200 };
+    anyhow::ensure!(eventually(answered).await, "never answered");
+    for n in 0..12 {
+        let id = format!("r{n}");
+        let headers = [("attempt-id", id.as_str()), ("deadline-ms", "250")];
+        let begun = Instant::now();
+        let answer = fleet.call("POST", process.listen, "/quote/1", &headers, "ask").await;
+        assert_eq!(answer.status, 504, "it may run, and its time is over");
+        assert!(begun.elapsed() < Duration::from_millis(750), "{:?}", begun.elapsed());
+    }
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_target_that_is_leaving_or_gone_gets_no_more_requests() -> anyhow::Result<()> {
     let fleet = Fleet::start().await?.with_targets(0, 2).await?;
