Keep the lease on orders while partitions move

Cause: the owner of the first partition held the lease and let it go whenever that moved. Ruled out: engines refusing (no order was sent at all), the store (appends took 25 ms). Change: a holder keeps the lease until it stops or falls silent; at a planned stop it waits out the least time between two holders and lets go, and whoever claims after that may order at once.

--- a/crates/lease/src/contend.rs
+++ b/crates/lease/src/contend.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Names the lease.
+    #[must_use]
+    pub fn resource(&self) -> &str {
+        &self.resource
+    }
+
     /// Lets those of lower rank claim first, so that several leases spread over
     /// the processes. A later claim is never less safe.
     pub fn prefer(&mut self, rank: u32) {
--- a/crates/lease/src/seat.rs
+++ b/crates/lease/src/seat.rs
@@ -1,6 +1,7 @@
 //! One process's view of the lease stream, together with its part in the
 //! contest for one lease.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use cassia_follow::Follow;
@@ -31,6 +32,19 @@
     pub since: Instant,
     /// Until when it is ours.
     pub until: Instant,
+    /// Whether the holder before let it go; if not, it may still be acting on
+    /// what it believed until its time was over.
+    pub after_release: bool,
+}
+
+impl Holding {
+    /// Says whether the holder may act on the lease: a holder before it that
+    /// fell silent may have acted until its time was over, which was before
+    /// this one's began.
+    #[must_use]
+    pub fn may_act(&self, now: Instant, quiet: Duration) -> bool {
+        self.after_release || now >= self.since + quiet
+    }
 }
 
 /// A process that watches the lease stream and may contend for one lease.
@@ -109,13 +123,22 @@
     pub fn holding(&self, now: Instant) -> Option<Holding> {
         let (fence, until) = self.contender.held().filter(|(_, until)| now < *until)?;
         let (_, since) = self.since.filter(|(held, _)| *held == fence)?;
-        Some(Holding { fence, since, until })
+        let lease = self.follow.state().get(self.contender.resource());
+        let after_release = lease.is_some_and(|l| l.fence == fence && l.after_release);
+        Some(Holding { fence, since, until, after_release })
     }
 
     /// Lets the lease go; none if it isn't ours.
-    pub fn release(&mut self, now: Instant) -> Option<Act> {
+    ///
+    /// The next holder relies on it that nobody acted on the lease for the
+    /// least time between two holders, `quiet`. The caller answers for its own
+    /// acts. If the holder before it fell silent less than that ago, the lease
+    /// is left to lapse.
+    pub fn release(&mut self, now: Instant, quiet: Duration) -> Option<Act> {
+        let holding = self.holding(now);
         self.since = None;
-        self.contender.release(now)
+        let act = self.contender.release(now)?;
+        holding.filter(|holding| holding.may_act(now, quiet)).map(|_| act)
     }
 
     fn note_since(&mut self, now: Instant) {
--- a/crates/lease/src/table.rs
+++ b/crates/lease/src/table.rs
@@ -79,6 +79,9 @@
     pub nonce: u64,
     /// Whether the holder let it go.
     pub released: bool,
+    /// Whether the holder before had let it go, and not just fallen silent.
+    #[serde(default)]
+    pub after_release: bool,
 }
 
 /// What became of an act.
@@ -113,7 +116,9 @@
                 if supersedes != current.as_ref().map(|l| l.last) {
                     return Verdict::Refused;
                 }
-                self.leases.insert(act.resource.clone(), Lease::claimed(offset, act));
+                let after_release = current.is_some_and(|lease| lease.released);
+                let lease = Lease::claimed(offset, act, after_release);
+                self.leases.insert(act.resource.clone(), lease);
                 Verdict::Accepted
             }
             (Verb::Renew { fence }, Some(lease)) => lease.keep(offset, act, fence, false),
@@ -124,7 +129,7 @@
 }
 
 impl Lease {
-    fn claimed(offset: Offset, act: &Act) -> Self {
+    fn claimed(offset: Offset, act: &Act, after_release: bool) -> Self {
         Self {
             holder: act.holder.clone(),
             boot: act.boot,
@@ -132,6 +137,7 @@
             last: offset,
             nonce: act.nonce,
             released: false,
+            after_release,
         }
     }
 
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -2,7 +2,8 @@
 //!
 //! One process at a time gives orders, under a lease in the log. The owner of
 //! the first partition of batch jobs contends for it, so that one process
-//! watches the lease and not all of them.
+//! watches the lease and not all of them. Whoever holds it keeps it, also when
+//! the partition moves: each change of holder costs a pause in the orders.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -52,14 +53,13 @@
 pub(crate) async fn run(app: Arc<App>) {
     let mut weights = Weights::new(&app);
     while !app.board.is_stopping() {
-        if app.board.owned.borrow().contains(&PARTITION.partition) {
+        let may_contend = app.board.owned.borrow().contains(&PARTITION.partition);
+        if may_contend || weights.held.is_some() {
             weights.round(&app).await;
-        } else {
-            weights.let_go(&app).await;
         }
         app.board.pause(EVERY).await;
     }
-    weights.let_go(&app).await;
+    weights.stop(&app).await;
 }
 
 #[derive(Debug)]
@@ -69,6 +69,8 @@
     /// The last fencing number under which this process held the lease.
     held: Option<u64>,
     stranded_until: Option<Instant>,
+    /// The latest moment at which the last order may have been sent.
+    last_order: Option<Instant>,
 }
 
 impl Weights {
@@ -77,7 +79,7 @@
         let (host, boot) = (app.board.host.clone(), app.board.boot);
         let contender = Contender::new(LEASE.into(), host, boot, TERM, now);
         let seat = Seat::new(contender, RECORDS_PER_SNAPSHOT);
-        Self { seat, swaps: BTreeMap::new(), held: None, stranded_until: None }
+        Self { seat, swaps: BTreeMap::new(), held: None, stranded_until: None, last_order: None }
     }
 
     async fn round(&mut self, app: &Arc<App>) {
@@ -141,8 +143,19 @@
         append(app, &LeaseRecord::Reset).await
     }
 
-    async fn let_go(&mut self, app: &App) {
-        let Some(act) = self.seat.release(app.clock.now()) else {
+    /// Keeps the lease until the next holder may give orders at once, and lets
+    /// it go then.
+    async fn stop(&mut self, app: &App) {
+        let lease = Duration::from_millis(app.settings.lease_ms);
+        let quiet_until = self.last_order.map(|sent| sent + lease);
+        while self.held.is_some() && quiet_until.is_some_and(|until| app.clock.now() < until) {
+            if let Err(e) = self.contend(app).await {
+                log::debug!(event = "store_away", step = e.step; "{e}");
+            }
+            self.note_held(self.seat.holding(app.clock.now()));
+            tokio::time::sleep(EVERY).await;
+        }
+        let Some(act) = self.seat.release(app.clock.now(), quiet(app)) else {
             return;
         };
         self.note_held(None);
@@ -167,10 +180,7 @@
         version: Version,
         holding: Holding,
     ) {
-        // The holder before may have sent its last order just before its time
-        // was over, which was before ours began.
-        let quiet = Duration::from_millis(app.settings.lease_ms) + ORDER_FLIGHT;
-        if app.clock.now() < holding.since + quiet {
+        if !holding.may_act(app.clock.now(), quiet(app)) {
             return;
         }
         let swaps = self.swaps.entry(model.clone()).or_default();
@@ -194,6 +204,11 @@
     }
 }
 
+/// The time that must lie between the orders of two holders.
+fn quiet(app: &App) -> Duration {
+    Duration::from_millis(app.settings.lease_ms) + ORDER_FLIGHT
+}
+
 async fn append(app: &App, record: &LeaseRecord) -> Result<(), StoreError> {
     let bytes = Bytes::from(serde_json::to_vec(record).unwrap_or_default());
     let deadline = Instant::now() + CALL_TIMEOUT;
--- a/crates/trials/tests/platform.rs
+++ b/crates/trials/tests/platform.rs
@@ -458,6 +458,29 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn orders_go_on_while_the_partitions_move_from_process_to_process() -> anyhow::Result<()> {
+    let fleet = Fleet::start().await?.with_targets(2, 1).await?;
+    let _processes = start(&fleet, 3).await?;
+    let store = std::sync::Arc::clone(&fleet.store);
+    let moving = tokio::spawn(async move {
+        loop {
+            sleep(Duration::from_millis(900)).await;
+            store.rebalance();
+        }
+    });
+    for version in 2..=4 {
+        fleet.name_version(version);
+        let loaded = || async { fleet.targets[..2].iter().all(|e| e.version() == version) };
+        let begun = Instant::now();
+        anyhow::ensure!(eventually(loaded).await, "version {version} was never loaded");
+        // The first holder waits once; after that each version takes its loads.
+        assert!(begun.elapsed() < Duration::from_secs(15), "{version}: {:?}", begun.elapsed());
+    }
+    moving.abort();
+    Ok(())
+}
+
 #[tokio::test]
 async fn orders_that_are_carried_out_late_undo_nothing() -> anyhow::Result<()> {
     let fleet = Fleet::start().await?.with_targets(2, 1).await?;
