--- a/crates/explain/src/verdict.rs
+++ b/crates/explain/src/verdict.rs
@@ -95,30 +95,24 @@
 
 fn job(id: &str, submitted: &Line, lines: &[Line]) -> String {
     let find = |event: &str| lines.iter().find(|line| line.event() == event);
-    let mut text = match value(submitted, "fate").as_str() {
+    let accepted = match value(submitted, "fate").as_str() {
         "InTheLog" => format!("{id}: accepted in {} ms", value(submitted, "took_ms")),
         "NotThere" => return format!("{id}: refused, since the store could not be asked"),
         _ => return format!("{id}: not known to be accepted: an append to the log had no answer"),
     };
-    match find("job_begun") {
-        Some(line) => text.push_str(&format!(", begun by {}", line.host())),
-        None => text.push_str(", begun by nobody"),
-    }
-    let done = lines.iter().filter(|line| line.event() == "item_done");
-    let slowest = done.clone().max_by_key(|line| value(line, "took_ms").parse::<u64>().ok());
-    text.push_str(&format!(", {} of {} items done", done.count(), value(submitted, "items")));
-    if let Some(line) = slowest {
-        let (item, took) = (value(line, "id"), value(line, "took_ms"));
-        text.push_str(&format!(", the slowest {item} in {took} ms"));
-    }
-    let given_up = lines.iter().filter(|line| line.event() == "item_given_up").count();
-    if given_up > 0 {
-        text.push_str(&format!(", {given_up} given up"));
-    }
-    if let Some(line) = find("job_ended") {
-        text.push_str(&format!(", ended at {}", line.time));
-    }
-    text
+    let by = find("job_begun").map_or("nobody", |line| line.host());
+    let done: Vec<_> = lines.iter().filter(|line| line.event() == "item_done").collect();
+    let slowest = done.iter().max_by_key(|line| value(line, "took_ms").parse::<u64>().ok());
+    let slowest = slowest.map_or_else(String::new, |line| {
+        format!(", the slowest {} in {} ms", value(line, "id"), value(line, "took_ms"))
+    });
+    let given_up = match lines.iter().filter(|line| line.event() == "item_given_up").count() {
+        0 => String::new(),
+        count => format!(", {count} given up"),
+    };
+    let ended = find("job_ended").map_or_else(String::new, |l| format!(", ended at {}", l.time));
+    let (done, items) = (done.len(), value(submitted, "items"));
+    format!("{accepted}, begun by {by}, {done} of {items} items done{slowest}{given_up}{ended}")
 }
 
 /// What went wrong on the way, if anything.
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -79,7 +79,7 @@
     ///
     /// An event is not whole.
     pub fn finish(&self) -> Result<(), EventError> {
-        if self.buf.iter().all(|byte| byte.is_ascii_whitespace()) {
+        if self.buf.iter().all(u8::is_ascii_whitespace) {
             return Ok(());
         }
         Err(EventError::Torn)
--- a/crates/route/src/roster.rs
+++ b/crates/route/src/roster.rs
@@ -19,7 +19,7 @@
 const LAPSED_GRACE: Duration = Duration::from_millis(1_700);
 /// How long a removed target is remembered, so that an old heartbeat that is
 /// read again does not bring it back.
-const REMEMBERED: Duration = Duration::from_secs(120);
+const REMEMBERED: Duration = Duration::from_mins(2);
 
 /// What a target last wrote about itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/route/tests/roster.rs
+++ b/crates/route/tests/roster.rs
@@ -109,6 +109,6 @@
     assert_eq!(roster.only(&["t".into()], now), Change::Nothing);
     assert_eq!(roster.only(&[], now), Change::Changed);
     assert!(!is_open(&roster, now));
-    roster.forget_old(now + Duration::from_secs(600));
+    roster.forget_old(now + Duration::from_mins(10));
     assert_eq!(roster.beat(beat(1, 1, false)), Change::Changed);
 }
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -57,11 +57,18 @@
     pub(crate) body: Bytes,
 }
 
+/// A target's whole answer.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) answer: Response<Bytes>,
+    pub(crate) head: RunHead,
+}
+
 /// What one target did with a request.
 #[derive(Debug)]
 pub(crate) enum Ended {
     /// It answered; the answer is whole.
-    Answer(Response<Bytes>, RunHead),
+    Answer(Box<Answered>),
     /// It did not run the request, by its own word or for want of a connection.
     NotRun,
     /// It may have run the request.
@@ -72,9 +79,9 @@
 #[derive(Debug)]
 pub(crate) enum Outcome {
     /// A target's answer.
-    Answer(Response<Bytes>, RunHead),
+    Answer(Box<Answered>),
     /// Targets ran it and failed, so many times; the last one's answer.
-    Failed(Response<Bytes>, u32),
+    Failed(Box<Response<Bytes>>, u32),
     /// No answer.
     Refused(Refusal),
 }
@@ -116,7 +123,8 @@
     let took_ms = millis(took);
     app.metrics.time("request.time", name, took);
     match outcome {
-        Outcome::Answer(answer, _) => {
+        Outcome::Answer(answered) => {
+            let answer = answered.answer;
             let status = answer.status().as_u16();
             log::info!(event = "request_done", step = "call", id, route = name, status, took_ms, config; "answered");
             app.metrics.count("request.answered", name);
@@ -126,7 +134,7 @@
             let status = answer.status().as_u16();
             log::info!(event = "request_failed", step = "call", id, route = name, status, failures, took_ms, config; "its targets ran it and failed");
             app.metrics.count("request.failed", name);
-            pass_on(answer)
+            pass_on(*answer)
         }
         Outcome::Refused(refusal) => {
             let (kind, ran) = (refusal.kind(), refusal.ran());
@@ -189,7 +197,7 @@
         while let Some(target) = self.next_target(&mut tally) {
             let ended = tokio::time::timeout_at(self.deadline.into(), self.send(target)).await;
             match ended {
-                Ok(Ended::Answer(answer, head)) => return Outcome::Answer(answer, head),
+                Ok(Ended::Answer(answered)) => return Outcome::Answer(answered),
                 Ok(Ended::NotRun) => {
                     tally.sent = tally.sent.saturating_sub(1);
                     tally.refusals += 1;
@@ -281,7 +289,7 @@
                 } else {
                     targets.succeeded(target.target());
                 }
-                Ended::Answer(answer, head)
+                Ended::Answer(Box::new(Answered { answer, head }))
             }
             Err(e) => self.failed(target, &e),
         }
@@ -363,13 +371,13 @@
     fn take(&mut self, ended: Ended) -> Option<Outcome> {
         self.last_not_run = matches!(ended, Ended::NotRun);
         match ended {
-            Ended::Answer(answer, head) if !is_own_failure(answer.status()) => {
-                Some(Outcome::Answer(answer, head))
+            Ended::Answer(answered) if !is_own_failure(answered.answer.status()) => {
+                Some(Outcome::Answer(answered))
             }
-            Ended::Answer(answer, _) => {
+            Ended::Answer(answered) => {
                 self.may_have_run = true;
                 self.failures += 1;
-                self.failure = Some(answer);
+                self.failure = Some(answered.answer);
                 None
             }
             Ended::NotRun => {
@@ -386,7 +394,7 @@
 
     fn give_up(self) -> Outcome {
         match self.failure {
-            Some(answer) => Outcome::Failed(answer, self.failures),
+            Some(answer) => Outcome::Failed(Box::new(answer), self.failures),
             None if self.may_have_run => Outcome::Refused(Refusal::Lost),
             None => Outcome::Refused(Refusal::NoTarget),
         }
@@ -394,7 +402,7 @@
 
     fn too_late(self) -> Outcome {
         match self.failure {
-            Some(answer) => Outcome::Failed(answer, self.failures),
+            Some(answer) => Outcome::Failed(Box::new(answer), self.failures),
             None => Outcome::Refused(Refusal::TooLate),
         }
     }
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -19,7 +19,7 @@
 
 /// How long a read waits at the store for news. Short, so that a connection
 /// that went silent is noticed within the time a change has.
-const LONG_POLL: Duration = Duration::from_millis(1_000);
+const LONG_POLL: Duration = Duration::from_secs(1);
 /// How much longer than that an answer may take.
 const PATIENCE: Duration = Duration::from_millis(500);
 /// Pause after a read failed.
@@ -71,7 +71,7 @@
 fn take(app: &App, record: &KeyedRecord) {
     match operator_record(record) {
         Ok(OperatorRecord::Config(table)) => install(app, table),
-        Ok(OperatorRecord::Version { model, version }) => want(app, model, version),
+        Ok(OperatorRecord::Version { model, version }) => want(app, &model, version),
         Ok(OperatorRecord::Other) => {}
         Err(e) => {
             let key = record.key.as_str();
@@ -92,7 +92,7 @@
     log::info!(event = "config_in_force", step = "configuration", version, before; "in force");
 }
 
-fn want(app: &App, model: ModelName, version: Version) {
+fn want(app: &App, model: &ModelName, version: Version) {
     let mut wanted = app.board.wanted.load().as_ref().clone();
     let newest = wanted.entry(model.clone()).or_default();
     if version > *newest {
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -309,8 +309,8 @@
                 continue;
             };
             match self.call(reward, &route).await? {
-                Outcome::Answer(answer, head) if answer.status().is_success() => {
-                    if let Some(score) = head.signature {
+                Outcome::Answer(answered) if answered.answer.status().is_success() => {
+                    if let Some(score) = answered.head.signature {
                         return Some(score);
                     }
                     attempts.broke_off();
@@ -322,7 +322,7 @@
                         }
                     }
                 }
-                Outcome::Answer(..) => {
+                Outcome::Answer(_) => {
                     if attempts.failed(route.max_attempts) == NextStep::GiveUp {
                         return None;
                     }
--- a/crates/serve/src/job_calls.rs
+++ b/crates/serve/src/job_calls.rs
@@ -22,7 +22,7 @@
 /// How long the store may take for one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// The longest that a read is kept waiting for a result.
-const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
 /// How long the end of a job is tried before the caller is told to come back.
 const END_FOR: Duration = Duration::from_millis(2_500);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -17,7 +17,7 @@
 use crate::item::JobRun;
 
 /// How long a read waits for news.
-const LONG_POLL: Duration = Duration::from_millis(1_000);
+const LONG_POLL: Duration = Duration::from_secs(1);
 const PATIENCE: Duration = Duration::from_millis(600);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// How long a job's records may take to be read.
--- a/crates/standin/src/fleet_target.rs
+++ b/crates/standin/src/fleet_target.rs
@@ -33,19 +33,29 @@
 /// How long a loaded version takes to be in use.
 const LOAD_TIME: Duration = Duration::from_millis(80);
 
+/// How a target answers requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Answers {
+    /// As it should.
+    #[default]
+    Well,
+    /// With its own failure, after it ran them.
+    Failing,
+    /// By refusing them, and saying so.
+    Full,
+    /// Not at all, after it ran them.
+    Silent,
+    /// With another request's id.
+    Foreign,
+}
+
 /// What goes wrong with a target.
 #[derive(Clone, Debug, Default)]
 pub struct TargetFaults {
-    /// It answers every request with its own failure.
-    pub failing: bool,
-    /// It refuses every request, and says so.
-    pub full: bool,
-    /// It runs a request and never answers.
-    pub silent: bool,
+    /// How it answers.
+    pub answers: Answers,
     /// Its streams break off after so many events.
     pub cut_after: Option<u64>,
-    /// It answers with another request's id.
-    pub foreign: bool,
     /// Requests whose id is here fail at each run.
     pub failing_ids: BTreeSet<String>,
     /// Orders get no answer and are carried out so much later.
@@ -311,7 +321,7 @@
             return Reply::Bytes(421, headers, Bytes::new());
         }
         let faults = lock(&self.state).faults.clone();
-        if faults.full {
+        if faults.answers == Answers::Full {
             return Reply::Bytes(503, vec![("not-run", "1".to_owned())], Bytes::new());
         }
         let after = number("last-event-id");
@@ -322,17 +332,18 @@
             patience_ms: number("deadline-ms"),
             after,
         });
-        let echoed = if faults.foreign { "another".to_owned() } else { id.clone() };
+        let echoed =
+            if faults.answers == Answers::Foreign { "another".to_owned() } else { id.clone() };
         let mut headers = vec![
             ("attempt-id", echoed),
             ("response-stamp", format!("stamp-{id}")),
             ("server-load", format!("{},0,8", lock(&self.state).running.len())),
         ];
-        if faults.silent {
+        if faults.answers == Answers::Silent {
             return Reply::Hang;
         }
         sleep(self.spec.step).await;
-        if faults.failing || faults.failing_ids.contains(&id) {
+        if faults.answers == Answers::Failing || faults.failing_ids.contains(&id) {
             return Reply::Bytes(500, headers, Bytes::from_static(b"failed"));
         }
         if self.spec.model.is_none() {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -27,6 +27,7 @@
 pub use crate::engine::EngineFaults;
 pub use crate::engine::EngineSpec;
 pub use crate::engine::EngineStandin;
+pub use crate::fleet_target::Answers;
 pub use crate::fleet_target::FleetTarget;
 pub use crate::fleet_target::OrderSeen;
 pub use crate::fleet_target::Ran;
--- a/crates/trials/tests/platform.rs
+++ b/crates/trials/tests/platform.rs
@@ -8,6 +8,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
+use cassia_standin::Answers;
 use cassia_standin::StoreFaults;
 use cassia_standin::TargetFaults;
 use cassia_standin::TargetSpec;
@@ -234,10 +235,10 @@
 
 #[rstest]
 #[case::breaks_off(TargetFaults { cut_after: Some(2), ..TargetFaults::default() })]
-#[case::fails(TargetFaults { failing: true, ..TargetFaults::default() })]
-#[case::full(TargetFaults { full: true, ..TargetFaults::default() })]
-#[case::silent(TargetFaults { silent: true, ..TargetFaults::default() })]
-#[case::foreign(TargetFaults { foreign: true, ..TargetFaults::default() })]
+#[case::fails(TargetFaults { answers: Answers::Failing, ..TargetFaults::default() })]
+#[case::full(TargetFaults { answers: Answers::Full, ..TargetFaults::default() })]
+#[case::silent(TargetFaults { answers: Answers::Silent, ..TargetFaults::default() })]
+#[case::foreign(TargetFaults { answers: Answers::Foreign, ..TargetFaults::default() })]
 #[tokio::test]
 async fn items_end_whole_beside_an_engine_that(#[case] faults: TargetFaults) -> anyhow::Result<()> {
     let fleet = Fleet::start().await?.with_targets(3, 2).await?;
@@ -270,9 +271,9 @@
 }
 
 #[rstest]
-#[case::silent(TargetFaults { silent: true, ..TargetFaults::default() }, 504)]
-#[case::failing(TargetFaults { failing: true, ..TargetFaults::default() }, 500)]
-#[case::full(TargetFaults { full: true, ..TargetFaults::default() }, 503)]
+#[case::silent(TargetFaults { answers: Answers::Silent, ..TargetFaults::default() }, 504)]
+#[case::failing(TargetFaults { answers: Answers::Failing, ..TargetFaults::default() }, 500)]
+#[case::full(TargetFaults { answers: Answers::Full, ..TargetFaults::default() }, 503)]
 #[tokio::test]
 async fn what_may_not_be_repeated_runs_at_most_once_when_its_target_is(
     #[case] faults: TargetFaults,
@@ -301,7 +302,8 @@
     let process = &processes[0].1;
     let answered = || async { fleet.request(process, "/quote/1", "r0").await.status == 200 };
     anyhow::ensure!(eventually(answered).await, "never answered");
-    fleet.targets[0].set_faults(TargetFaults { silent: true, ..TargetFaults::default() });
+    fleet.targets[0]
+        .set_faults(TargetFaults { answers: Answers::Silent, ..TargetFaults::default() });
     for n in 0..6 {
         let begun = Instant::now();
         let answer = fleet.request(process, "/quote/1", &format!("r{n}")).await;
