Share engines out to trained models; move runs off slow engines

Change: cassia-orders::share gives each engine one model, the limit on loads counts all models; an engine's pace is measured every four events, and a run leaves an engine that is over twice the median while another has a slot.

--- a/crates/explain/src/verdict.rs
+++ b/crates/explain/src/verdict.rs
@@ -124,6 +124,7 @@
         ("attempt_failed", "failed at a target"),
         ("run_broke_off", "broke off"),
         ("run_misfit", "did not fit"),
+        ("run_moves", "moved from a slow engine"),
         ("foreign_answer", "got another request's answer"),
     ] {
         let count = count(event);
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -15,12 +15,16 @@
 //! assert_eq!(plan(&[engine], 2, false), Plan::Stage(vec!["e1".into()]));
 //! ```
 
+mod share;
 mod swap;
 
 use cassia_ids::TargetId;
 use cassia_ids::Version;
 
+pub use crate::share::EngineModels;
+pub use crate::share::share;
 pub use crate::swap::EngineState;
+pub use crate::swap::at_once;
 pub use crate::swap::Swaps;
 
 /// Engines that stage at once: as many as the weight store serves.
--- a/crates/orders/src/swap.rs
+++ b/crates/orders/src/swap.rs
@@ -15,6 +15,13 @@
 /// How long an engine that did not take an order is left alone.
 const REFUSED_PAUSE: Duration = Duration::from_millis(700);
 
+/// Counts how many of so many engines may load at once, over all models: more
+/// are slower, and enough must be left to serve.
+#[must_use]
+pub fn at_once(engines: usize) -> usize {
+    ((engines + ENGINES_PER_LOAD / 2) / ENGINES_PER_LOAD).max(1)
+}
+
 /// What is known of one engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineState {
@@ -46,29 +53,32 @@
 }
 
 impl Swaps {
-    /// Chooses the engines that are to load the version now, the least busy
-    /// first, so that enough are left to serve.
+    /// Chooses the engines that are to load the version now, at most so many,
+    /// the furthest behind and the least busy first.
     #[must_use]
     pub fn next(
         &mut self,
         engines: &[EngineState],
         wanted: Version,
+        most: usize,
         now: Instant,
     ) -> Vec<TargetId> {
-        self.ordered.retain(|id, ordered| {
-            let engine = engines.iter().find(|engine| engine.id == *id);
-            now < ordered.until && engine.is_some_and(|engine| ordered.is_under_way(engine))
-        });
-        let under_way = self.ordered.values().filter(|ordered| ordered.loads).count();
-        let at_once = ((engines.len() + ENGINES_PER_LOAD / 2) / ENGINES_PER_LOAD).max(1);
+        self.settle(engines, now);
         let is_due = |engine: &&EngineState| {
             let is_behind = engine.version.is_some_and(|version| version < wanted);
             is_behind && !engine.leaving && !self.ordered.contains_key(&engine.id)
         };
         let mut due: Vec<_> = engines.iter().filter(is_due).collect();
         due.sort_by_key(|engine| (engine.version, engine.load));
-        let free = at_once.saturating_sub(under_way);
-        due.into_iter().take(free).map(|engine| engine.id.clone()).collect()
+        due.into_iter().take(most).map(|engine| engine.id.clone()).collect()
+    }
+
+    /// Forgets the orders that are carried out, or should be by now.
+    pub fn settle(&mut self, engines: &[EngineState], now: Instant) {
+        self.ordered.retain(|id, ordered| {
+            let engine = engines.iter().find(|engine| engine.id == *id);
+            now < ordered.until && engine.is_some_and(|engine| ordered.is_under_way(engine))
+        });
     }
 
     /// Notes that an engine carries an order out, or may do so.
--- /dev/null
+++ b/crates/orders/tests/share.rs
@@ -0,0 +1,64 @@
+//! Load pattern: several trainers' models on the same engines, of which only a
+//! few may load at a time.
+
+use std::collections::BTreeMap;
+
+use cassia_orders::EngineModels;
+use cassia_orders::share;
+use rstest::rstest;
+
+fn engines(count: usize, models: usize) -> Vec<EngineModels> {
+    let versions = || (0..models).map(|m| (format!("m{m}").into(), 1)).collect();
+    let engine = |n: usize| EngineModels { id: format!("e{n:02}").into(), versions: versions() };
+    (0..count).map(engine).collect()
+}
+
+fn wanted(models: usize, version: u64) -> BTreeMap<cassia_ids::ModelName, u64> {
+    (0..models).map(|m| (format!("m{m}").into(), version)).collect()
+}
+
+#[rstest]
+#[case::one_model(9, 1)]
+#[case::three_models(36, 3)]
+#[case::uneven(10, 3)]
+#[case::more_models_than_engines(2, 3)]
+fn every_engine_serves_one_model_and_the_shares_are_even(
+    #[case] count: usize,
+    #[case] models: usize,
+) {
+    let shares = share(&engines(count, models), &wanted(models, 2));
+    assert_eq!(shares.len(), count);
+    let mut counts: BTreeMap<_, usize> = BTreeMap::new();
+    for model in shares.values() {
+        *counts.entry(model.clone()).or_default() += 1;
+    }
+    assert!(counts.values().all(|n| *n <= count.div_ceil(models)), "{counts:?}");
+}
+
+#[test]
+fn shares_stay_while_versions_move_on_and_engines_come_and_go() {
+    let mut engines = engines(36, 3);
+    let mut before = share(&engines, &wanted(3, 2));
+    for version in 2..12 {
+        for engine in &mut engines {
+            if let Some(model) = before.get(&engine.id) {
+                engine.versions.insert(model.clone(), version);
+            }
+        }
+        if version == 6 {
+            engines.remove(4);
+        }
+        let after = share(&engines, &wanted(3, version + 1));
+        let moved = after.iter().filter(|(id, model)| before.get(*id) != Some(model)).count();
+        assert!(moved <= 1, "version {version}: {moved} moved");
+        before = after;
+    }
+}
+
+#[test]
+fn a_model_that_nobody_trains_takes_no_engine() {
+    let shares = share(&engines(6, 3), &wanted(1, 2));
+    assert_eq!(shares.len(), 6);
+    assert!(shares.values().all(|model| model == "m0"));
+    assert!(share(&engines(6, 3), &BTreeMap::new()).is_empty());
+}
--- a/crates/orders/tests/swap.rs
+++ b/crates/orders/tests/swap.rs
@@ -6,6 +6,7 @@
 
 use cassia_orders::EngineState;
 use cassia_orders::Swaps;
+use cassia_orders::at_once;
 use rstest::rstest;
 
 fn engine(n: usize, version: u64) -> EngineState {
@@ -32,10 +33,12 @@
             }
             now < *done
         });
+        swaps.settle(&engines, now);
         if engines.iter().all(|engine| engine.version == Some(2)) {
             return (loads, now - begun);
         }
-        for id in swaps.next(&engines, 2, now) {
+        let most = at_once(count) - swaps.under_way().count();
+        for id in swaps.next(&engines, 2, most, now) {
             let n = engines.iter().position(|engine| engine.id == id).expect("it is one of them");
             swaps.loads(&engines[n], 2, now);
             under_way.push((n, now + load));
@@ -61,15 +64,15 @@
     let now = Instant::now();
     let engines = [engine(0, 1)];
     let mut swaps = Swaps::default();
-    assert_eq!(swaps.next(&engines, 2, now).len(), 1);
+    assert_eq!(swaps.next(&engines, 2, 1, now).len(), 1);
     swaps.refused(&engines[0], 2, now);
-    assert!(swaps.next(&engines, 2, now).is_empty());
+    assert!(swaps.next(&engines, 2, 1, now).is_empty());
     let later = now + Duration::from_secs(1);
-    assert_eq!(swaps.next(&engines, 2, later).len(), 1);
+    assert_eq!(swaps.next(&engines, 2, 1, later).len(), 1);
     swaps.loads(&engines[0], 2, later);
     assert_eq!(swaps.under_way().count(), 1);
-    assert!(swaps.next(&engines, 2, later + Duration::from_secs(1)).is_empty());
-    assert_eq!(swaps.next(&engines, 2, later + Duration::from_secs(3)).len(), 1);
+    assert!(swaps.next(&engines, 2, 1, later + Duration::from_secs(1)).is_empty());
+    assert_eq!(swaps.next(&engines, 2, 1, later + Duration::from_secs(3)).len(), 1);
 }
 
 #[test]
@@ -83,7 +86,7 @@
     let now = Instant::now();
     let mut order = Vec::new();
     for _ in 0..5 {
-        for id in swaps.next(&engines, 3, now) {
+        for id in swaps.next(&engines, 3, 1, now) {
             let found = engines.iter_mut().find(|engine| engine.id == id).expect("one of them");
             found.version = Some(3);
             order.push(id);
@@ -99,6 +102,6 @@
     let mut swaps = Swaps::default();
     swaps.loads(&engines[0], 2, now);
     engines[0].started_ms = 2;
-    let ids: BTreeSet<_> = swaps.next(&engines, 2, now).into_iter().collect();
+    let ids: BTreeSet<_> = swaps.next(&engines, 2, 1, now).into_iter().collect();
     assert_eq!(ids.len(), 1);
 }
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -30,6 +30,8 @@
 const EVENT_GAP: Duration = Duration::from_millis(2_500);
 /// How long an engine that refused an item is left alone.
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
+/// Events over which an engine's pace is measured.
+const PACE_EVENTS: u32 = 4;
 /// The rank of items at engines: behind what callers wait for.
 const PRIORITY: u8 = 5;
 
@@ -48,16 +50,39 @@
     BrokeOff,
     /// What came does not fit the text so far, which must begin anew.
     Misfit,
+    /// The engine is slow and another has a slot: the run goes on there.
+    Moves,
 }
 
 /// Where and what to generate.
-#[derive(Debug)]
 pub(crate) struct Run<'a> {
     pub(crate) app: &'a App,
     pub(crate) host: &'a str,
     pub(crate) model: &'a ModelName,
     pub(crate) item: &'a Item,
     pub(crate) engine: &'a Use,
+    /// Whether an engine that isn't slow has a slot for the rest.
+    pub(crate) has_other: &'a (dyn Fn() -> bool + Send + Sync),
+}
+
+/// Measures how fast events come.
+#[derive(Debug)]
+struct PaceMeter {
+    since: Option<Instant>,
+    events: u32,
+}
+
+impl PaceMeter {
+    /// Counts an event; gives the time that the last few took, now and then.
+    fn count(&mut self, now: Instant) -> Option<Duration> {
+        let since = *self.since.get_or_insert(now);
+        if self.events < PACE_EVENTS {
+            self.events += 1;
+            return None;
+        }
+        *self = Self { since: Some(now), events: 1 };
+        Some(now.saturating_duration_since(since))
+    }
 }
 
 impl Run<'_> {
@@ -122,29 +147,32 @@
         if let Err(e) = text.begin_run(head.version) {
             return self.misfit(e);
         }
-        let begun = Instant::now();
-        let mut events = 0;
+        let mut pace = PaceMeter { since: None, events: 0 };
         let mut parser = EventParser::new(VERSION_FIELD);
         loop {
             let bytes = match timeout(EVENT_GAP, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) if parser.finish().is_ok() && text.last().is_some() => {
                     self.app.board.targets.load().succeeded(self.engine.target());
-                    self.note_pace(events, begun);
                     return Generated::Whole;
                 }
                 Ok(None) => return self.broke_off("ended within an event"),
                 Ok(Some(Err(e))) => return self.broke_off(&e.to_string()),
                 Err(_) => return self.broke_off("silent"),
             };
+            if self.engine.target().is_slow() && text.last().is_some() && (self.has_other)() {
+                return self.moves();
+            }
             parser.push(&bytes);
             loop {
                 match parser.next_event() {
                     Ok(Some(event)) => {
-                        events += 1;
                         if let Err(e) = text.push(&event) {
                             return self.misfit(e);
                         }
+                        if let Some(took) = pace.count(Instant::now()) {
+                            self.note_pace(took);
+                        }
                     }
                     Ok(None) => break,
                     Err(e) => return self.broke_off(&e.to_string()),
@@ -160,10 +188,15 @@
         }
     }
 
-    fn note_pace(&self, events: u32, begun: Instant) {
-        let now = Instant::now();
-        let took = now.saturating_duration_since(begun);
-        self.app.board.targets.load().paced(self.engine.target(), events, took, now);
+    fn note_pace(&self, took: Duration) {
+        let targets = self.app.board.targets.load();
+        targets.paced(self.engine.target(), PACE_EVENTS, took, Instant::now());
+    }
+
+    fn moves(&self) -> Generated {
+        let (id, peer) = (self.item.id.as_str(), self.engine.target().listed.id.as_str());
+        log::info!(event = "run_moves", step = "generate", id, peer; "the engine is slow");
+        Generated::Moves
     }
 
     fn broke_off(&self, why: &str) -> Generated {
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -39,6 +39,8 @@
 
 /// How long to wait for news of a free slot before looking again.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
+/// Times that an item moves from a slow engine to another.
+const MOST_MOVES: u32 = 3;
 /// Pause while an item or its reward call has no route.
 const ROUTE_PAUSE: Duration = Duration::from_millis(300);
 /// Beyond the time that an item is kept: hosts' times of day differ.
@@ -261,6 +263,7 @@
         let mut next = Some(slot);
         let mut text: Option<ItemText> = None;
         let mut failed = Vec::new();
+        let mut moves = 0;
         loop {
             let Some(route) = self.route(&self.job.host, &item.path) else {
                 sleep(ROUTE_PAUSE).await;
@@ -277,7 +280,11 @@
             let fresh = || ItemText::new(self.job.min_version, route.job.single_version);
             let so_far = text.get_or_insert_with(fresh);
             let host = &self.job.host;
-            let run = Run { app: &self.app, host, model: &self.model, item, engine };
+            let has_other = || {
+                moves < MOST_MOVES && self.free_engine(index, None, |t| !t.is_slow()).is_some()
+            };
+            let has_other = &has_other;
+            let run = Run { app: &self.app, host, model: &self.model, item, engine, has_other };
             let generated = run.generate(so_far).await;
             let tried = engine.target().listed.id.clone();
             drop(slot);
@@ -290,6 +297,10 @@
                         return Some(None);
                     }
                 }
+                Generated::Moves => {
+                    moves += 1;
+                    continue;
+                }
                 Generated::Misfit => {
                     text = None;
                     attempts.broke_off();
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use cassia_ids::ModelName;
+use cassia_ids::TargetId;
 use cassia_ids::Version;
 use cassia_lease::Contender;
 use cassia_lease::Holding;
@@ -19,11 +20,15 @@
 use cassia_lease::Move;
 use cassia_lease::STREAM;
 use cassia_lease::Seat;
+use cassia_orders::EngineModels;
 use cassia_orders::EngineState;
 use cassia_orders::Swaps;
+use cassia_orders::at_once;
+use cassia_orders::share;
 use cassia_platform::PartitionRef;
 use cassia_platform::StoreError;
 use cassia_platform::StoreErrorKind;
+use cassia_route::Heartbeat;
 use futures::future::join_all;
 
 use crate::app::App;
@@ -89,8 +94,8 @@
         let holding = self.seat.holding(app.clock.now());
         self.note_held(holding);
         let Some(holding) = holding else { return };
-        for (model, version) in app.board.wanted.load_full().iter() {
-            self.give_orders(app, model, *version, holding).await;
+        if holding.may_act(app.clock.now(), quiet(app)) {
+            self.give_orders(app, holding).await;
         }
     }
 
@@ -173,28 +178,46 @@
         }
     }
 
-    async fn give_orders(
+    /// Gives the orders of one round, for all models.
+    async fn give_orders(&mut self, app: &Arc<App>, holding: Holding) {
+        let wanted = app.board.wanted.load_full();
+        for (model, swaps) in &self.swaps {
+            order::learn_progress(app, model, swaps).await;
+        }
+        let all = engine_models(app);
+        let shares = share(&all, &wanted);
+        for (model, version) in wanted.iter() {
+            let own = |id: &TargetId| shares.get(id) == Some(model);
+            let engines: Vec<_> = engines(app, model).into_iter().filter(|e| own(&e.id)).collect();
+            self.swaps.entry(model.clone()).or_default().settle(&engines, Instant::now());
+            let under_way: usize = self.swaps.values().map(|s| s.under_way().count()).sum();
+            let most = at_once(all.len()).saturating_sub(under_way);
+            self.order_engines(app, model, *version, &engines, most, holding).await;
+        }
+    }
+
+    async fn order_engines(
         &mut self,
         app: &Arc<App>,
         model: &ModelName,
         version: Version,
+        engines: &[EngineState],
+        most: usize,
         holding: Holding,
     ) {
-        if !holding.may_act(app.clock.now(), quiet(app)) {
-            return;
-        }
         let swaps = self.swaps.entry(model.clone()).or_default();
-        order::learn_progress(app, model, swaps).await;
-        let engines = engines(app, model);
-        let due = swaps.next(&engines, version, Instant::now());
+        let due = swaps.next(engines, version, most, Instant::now());
         let due: Vec<_> = engines.iter().filter(|engine| due.contains(&engine.id)).collect();
+        if !due.is_empty() {
+            self.last_order = Some(app.clock.now() + ORDER_FLIGHT);
+        }
         let may_send = || {
             let now = app.clock.now();
             self.seat.holding(now).is_some_and(|held| now + SEND_MARGIN < held.until)
         };
-        let given = due
-            .iter()
-            .map(|engine| order::give(app, &engine.id, model, version, holding.fence, &may_send));
+        let given = due.iter().map(|engine| {
+            order::give(app, &engine.id, model, version, holding.fence, &may_send)
+        });
         for (engine, given) in due.iter().zip(join_all(given).await) {
             match given {
                 Given::Loads => swaps.loads(engine, version, Instant::now()),
@@ -204,6 +227,20 @@
     }
 }
 
+/// Lists the engines that have any model.
+fn engine_models(app: &App) -> Vec<EngineModels> {
+    let beats = app.board.heartbeats.load();
+    let engine = |beat: &Heartbeat| {
+        let known = |(model, version): &(ModelName, Version)| {
+            let newest = app.board.version_of(&beat.id, model).unwrap_or(*version);
+            (model.clone(), newest)
+        };
+        EngineModels { id: beat.id.clone(), versions: beat.versions.iter().map(known).collect() }
+    };
+    let engines = beats.iter().filter(|beat| !beat.versions.is_empty() && !beat.leaving);
+    engines.map(engine).collect()
+}
+
 /// The time that must lie between the orders of two holders.
 fn quiet(app: &App) -> Duration {
     Duration::from_millis(app.settings.lease_ms) + ORDER_FLIGHT
@@ -220,7 +257,7 @@
     let targets = app.board.targets.load();
     let beats = app.board.heartbeats.load();
     let has_model = beats.iter().filter(|beat| beat.versions.iter().any(|(m, _)| m == model));
-    let state = |beat: &cassia_route::Heartbeat| EngineState {
+    let state = |beat: &Heartbeat| EngineState {
         id: beat.id.clone(),
         started_ms: beat.started_ms,
         version: app.board.version_of(&beat.id, model),
