Order next for the model that is served least; two processes watch the lease

Change: one engine after the other for the model with the fewest engines that its next step may use; shares count models that no version was named for yet; the owners of the first two partitions contend, in turn.

--- a/crates/lease/src/seat.rs
+++ b/crates/lease/src/seat.rs
@@ -67,6 +67,11 @@
         Self { follow, contender, synced: false, since: None, records_per_snapshot }
     }
 
+    /// Lets seats of lower rank claim first.
+    pub fn prefer(&mut self, rank: u32) {
+        self.contender.prefer(rank);
+    }
+
     /// Tells where to read on.
     #[must_use]
     pub fn next_read(&self) -> Offset {
--- a/crates/orders/src/share.rs
+++ b/crates/orders/src/share.rs
@@ -2,6 +2,7 @@
 //! a few may load at a time.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use cassia_ids::ModelName;
 use cassia_ids::TargetId;
@@ -16,9 +17,10 @@
     pub versions: BTreeMap<ModelName, Version>,
 }
 
-/// Shares the engines out to the models that are trained, as evenly as can be.
+/// Shares the engines out to the models that they have, as evenly as can be.
 ///
-/// An engine goes to the model of which its version is least behind, so shares
+/// A model for which no version was named yet has its share too: its trainer
+/// may be about to name one. An engine goes to the model of which its version is least behind, so shares
 /// stay what they are from round to round and after a change of holder, and
 /// engines that come or go move few others. If every engine followed every
 /// model, most of them would be loading most of the time.
@@ -30,13 +32,13 @@
     let mut pairs = Vec::new();
     for engine in engines {
         for (model, version) in &engine.versions {
-            let Some(wanted) = wanted.get(model) else { continue };
-            let behind = wanted.saturating_sub(*version);
+            let behind = wanted.get(model).map_or(0, |wanted| wanted.saturating_sub(*version));
             pairs.push((behind, tie(&engine.id, model), &engine.id, model));
         }
     }
     pairs.sort_unstable();
-    let quota = engines.len().div_ceil(wanted.len().max(1));
+    let models: BTreeSet<_> = pairs.iter().map(|(_, _, _, model)| *model).collect();
+    let quota = engines.len().div_ceil(models.len().max(1));
     let mut counts: BTreeMap<&ModelName, usize> = BTreeMap::new();
     let mut shares = BTreeMap::new();
     for (_, _, id, model) in pairs {
@@ -49,6 +51,27 @@
     shares
 }
 
+/// How well a model is served by its share; the least served loads next.
+///
+/// The next step of a trainer may run on the version before the named one, so
+/// engines that have at least that one count first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Served {
+    usable: usize,
+    current: usize,
+}
+
+impl Served {
+    /// Judges a model by what the engines of its share have, or load already.
+    #[must_use]
+    pub fn of(versions: &[Version], wanted: Version) -> Self {
+        let enough = versions.len().div_ceil(2);
+        let usable = versions.iter().filter(|version| **version + 1 >= wanted).count();
+        let current = versions.iter().filter(|version| **version >= wanted).count();
+        Self { usable: usable.min(enough), current }
+    }
+}
+
 /// Breaks ties the same way at every holder: FNV-1a over both names.
 fn tie(engine: &str, model: &str) -> u64 {
     engine.bytes().chain([0]).chain(model.bytes()).fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
--- a/crates/orders/src/swap.rs
+++ b/crates/orders/src/swap.rs
@@ -91,6 +91,13 @@
         self.note(engine, version, now + REFUSED_PAUSE, false);
     }
 
+    /// Tells the version that an engine has or is loading.
+    #[must_use]
+    pub fn version_of(&self, engine: &EngineState) -> Version {
+        let loading = self.ordered.get(&engine.id).filter(|ordered| ordered.loads);
+        loading.map_or(0, |ordered| ordered.version).max(engine.version.unwrap_or(0))
+    }
+
     /// Lists the engines whose load is under way: whether they are done shows
     /// in their reports sooner than in the list.
     pub fn under_way(&self) -> impl Iterator<Item = &TargetId> {
--- a/crates/serve/src/order.rs
+++ b/crates/serve/src/order.rs
@@ -22,7 +22,7 @@
 use crate::app::App;
 
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
-const ORDER_TIMEOUT: Duration = Duration::from_millis(900);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// What became of an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -1,8 +1,8 @@
 //! The weights controller: gives engines the orders to load named versions.
 //!
-//! One process at a time gives orders, under a lease in the log. The owner of
-//! the first partition of batch jobs contends for it, so that one process
-//! watches the lease and not all of them. Whoever holds it keeps it, also when
+//! One process at a time gives orders, under a lease in the log. The owners of
+//! the first partitions of batch jobs contend for it, so that a few processes
+//! watch the lease and not all of them. Whoever holds it keeps it, also when
 //! the partition moves: each change of holder costs a pause in the orders.
 
 use std::collections::BTreeMap;
@@ -12,7 +12,6 @@
 
 use bytes::Bytes;
 use cassia_ids::ModelName;
-use cassia_ids::TargetId;
 use cassia_ids::Version;
 use cassia_lease::Contender;
 use cassia_lease::Holding;
@@ -22,6 +21,7 @@
 use cassia_lease::Seat;
 use cassia_orders::EngineModels;
 use cassia_orders::EngineState;
+use cassia_orders::Served;
 use cassia_orders::Swaps;
 use cassia_orders::at_once;
 use cassia_orders::share;
@@ -38,17 +38,19 @@
 /// The lease on the orders to all engines.
 const LEASE: &str = "orders";
 /// How long a lease holds after its last renewal was sent.
-const TERM: Duration = Duration::from_millis(1_800);
+const TERM: Duration = Duration::from_millis(1_500);
 /// Records after which the table of leases is appended again.
 const RECORDS_PER_SNAPSHOT: u64 = 150;
 /// How often a round is worked out.
 const EVERY: Duration = Duration::from_millis(150);
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Beyond the least time between two holders' orders: how long an order may
-/// be on its way.
-const ORDER_FLIGHT: Duration = Duration::from_millis(900);
-/// A lease must last this much longer for an order to be sent.
-const SEND_MARGIN: Duration = Duration::from_millis(200);
+/// How long an order may be on its way, its connection included.
+const ORDER_FLIGHT: Duration = Duration::from_millis(600);
+/// A lease must last this much longer for an order to be sent, so that most of
+/// its way lies within the lease.
+const SEND_MARGIN: Duration = Duration::from_millis(400);
+/// Owners of the first so many partitions contend, those of later ones later.
+const CONTENDERS: u32 = 2;
 /// Without the older records the leases are begun anew after so many terms.
 const TERMS_BEFORE_RESET: u32 = 3;
 
@@ -58,8 +60,11 @@
 pub(crate) async fn run(app: Arc<App>) {
     let mut weights = Weights::new(&app);
     while !app.board.is_stopping() {
-        let may_contend = app.board.owned.borrow().contains(&PARTITION.partition);
-        if may_contend || weights.held.is_some() {
+        let rank = app.board.owned.borrow().first().copied().filter(|rank| *rank < CONTENDERS);
+        if let Some(rank) = rank {
+            weights.seat.prefer(rank);
+        }
+        if rank.is_some() || weights.held.is_some() {
             weights.round(&app).await;
         }
         app.board.pause(EVERY).await;
@@ -184,47 +189,68 @@
         for (model, swaps) in &self.swaps {
             order::learn_progress(app, model, swaps).await;
         }
-        let all = engine_models(app);
-        let shares = share(&all, &wanted);
-        for (model, version) in wanted.iter() {
-            let own = |id: &TargetId| shares.get(id) == Some(model);
-            let engines: Vec<_> = engines(app, model).into_iter().filter(|e| own(&e.id)).collect();
-            self.swaps.entry(model.clone()).or_default().settle(&engines, Instant::now());
-            let under_way: usize = self.swaps.values().map(|s| s.under_way().count()).sum();
-            let most = at_once(all.len()).saturating_sub(under_way);
-            self.order_engines(app, model, *version, &engines, most, holding).await;
-        }
-    }
-
-    async fn order_engines(
-        &mut self,
-        app: &Arc<App>,
-        model: &ModelName,
-        version: Version,
-        engines: &[EngineState],
-        most: usize,
-        holding: Holding,
-    ) {
-        let swaps = self.swaps.entry(model.clone()).or_default();
-        let due = swaps.next(engines, version, most, Instant::now());
-        let due: Vec<_> = engines.iter().filter(|engine| due.contains(&engine.id)).collect();
-        if !due.is_empty() {
-            self.last_order = Some(app.clock.now() + ORDER_FLIGHT);
+        let due = self.pick(app, &wanted);
+        if due.is_empty() {
+            return;
         }
+        self.last_order = Some(app.clock.now() + ORDER_FLIGHT);
         let may_send = || {
             let now = app.clock.now();
             self.seat.holding(now).is_some_and(|held| now + SEND_MARGIN < held.until)
         };
-        let given = due.iter().map(|engine| {
-            order::give(app, &engine.id, model, version, holding.fence, &may_send)
+        let given = due.iter().map(|due| {
+            order::give(app, &due.engine.id, &due.model, due.version, holding.fence, &may_send)
         });
-        for (engine, given) in due.iter().zip(join_all(given).await) {
-            match given {
-                Given::Loads => swaps.loads(engine, version, Instant::now()),
-                Given::Refused => swaps.refused(engine, version, Instant::now()),
+        for (due, given) in due.iter().zip(join_all(given).await) {
+            if given == Given::Refused {
+                let swaps = self.swaps.entry(due.model.clone()).or_default();
+                swaps.refused(&due.engine, due.version, Instant::now());
             }
         }
     }
+
+    /// Chooses the engines that load now, one after the other for the model
+    /// that is served least, and notes their loads.
+    fn pick(&mut self, app: &App, wanted: &BTreeMap<ModelName, Version>) -> Vec<Due> {
+        let now = Instant::now();
+        let all = engine_models(app);
+        let shares = share(&all, wanted);
+        let mut models = Vec::new();
+        for (model, version) in wanted {
+            let own = |engine: &EngineState| shares.get(&engine.id) == Some(model);
+            let engines: Vec<_> = engines(app, model).into_iter().filter(own).collect();
+            self.swaps.entry(model.clone()).or_default().settle(&engines, now);
+            models.push((model, *version, engines));
+        }
+        let under_way: usize = self.swaps.values().map(|swaps| swaps.under_way().count()).sum();
+        let mut due = Vec::new();
+        for _ in under_way..at_once(all.len()) {
+            models.sort_by_key(|(model, version, engines)| {
+                let has = |engine: &EngineState| {
+                    self.swaps.get(*model).map_or(0, |swaps| swaps.version_of(engine))
+                };
+                Served::of(&engines.iter().map(has).collect::<Vec<_>>(), *version)
+            });
+            let next = models.iter().find_map(|(model, version, engines)| {
+                let swaps = self.swaps.get_mut(*model)?;
+                let id = swaps.next(engines, *version, 1, now).pop()?;
+                let engine = engines.iter().find(|engine| engine.id == id)?.clone();
+                swaps.loads(&engine, *version, now);
+                Some(Due { model: (*model).clone(), version: *version, engine })
+            });
+            let Some(next) = next else { break };
+            due.push(next);
+        }
+        due
+    }
+}
+
+/// An engine that is to load a version now.
+#[derive(Debug)]
+struct Due {
+    model: ModelName,
+    version: Version,
+    engine: EngineState,
 }
 
 /// Lists the engines that have any model.
