Start long items first and on fast engines; let long runs move to faster ones

Cause: a group is whole when its longest item is. Ruled out: waiting for slots (attempts 0.1 s after the job), processor (0.002 cores).

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -55,6 +55,9 @@
     /// Prompt tokens and the most output tokens together.
     #[prost(uint64, tag = "7")]
     pub tokens: u64,
+    /// Output tokens that are expected; 0 if nothing is known.
+    #[prost(uint64, tag = "8")]
+    pub expected_output: u64,
 }
 
 /// A batch job as it was handed in.
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -25,8 +25,8 @@
 pub use crate::share::Served;
 pub use crate::share::share;
 pub use crate::swap::EngineState;
-pub use crate::swap::at_once;
 pub use crate::swap::Swaps;
+pub use crate::swap::at_once;
 
 /// Engines that stage at once: as many as the weight store serves.
 const STAGED_AT_ONCE: usize = 4;
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -37,6 +37,8 @@
 const OVERTAKEN_IN_A_ROW: u32 = 2;
 /// Failures of a target's own, one after the other, that put it in doubt.
 const ERRORS_IN_A_ROW: u32 = 3;
+/// A target is clearly faster whose pace is at most this part of another's.
+const FASTER_PERCENT: u64 = 82;
 /// A score counts requests a slot in units of one over this.
 const SCORE_UNIT: u64 = 1_024;
 /// How much worse than the better of two random targets the one with the
@@ -65,6 +67,15 @@
     Callers,
 }
 
+/// Which of the targets with a free slot is taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FreeSlot<'a> {
+    /// This one, if it has a slot; else the least busy.
+    At(Option<&'a str>),
+    /// The one that generates fastest, for what will take long.
+    Fastest,
+}
+
 /// What a target is wanted for.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
@@ -209,6 +220,19 @@
         self.asked_ms.load(Ordering::Relaxed)
     }
 
+    /// Tells the average time for an event there, in microseconds, if known.
+    #[must_use]
+    pub fn pace_us(&self) -> Option<u32> {
+        Some(self.pace_us.load(Ordering::Relaxed)).filter(|pace| *pace > 0)
+    }
+
+    /// Says whether it is clearly faster than another.
+    #[must_use]
+    pub fn is_faster_than(&self, other: &Self) -> bool {
+        let paces = self.pace_us().zip(other.pace_us());
+        paces.is_some_and(|(own, other)| u64::from(own) * 100 <= u64::from(other) * FASTER_PERCENT)
+    }
+
     /// Says whether it is much slower than its peers.
     #[must_use]
     pub fn is_slow(&self) -> bool {
@@ -436,15 +460,14 @@
 
     /// Chooses a target with a free slot for work that can wait for one.
     ///
-    /// `prefer` is taken if it has one: what shares a prompt goes where that
-    /// is kept. Else the least busy takes it. If every fit target is avoided,
-    /// one of those is tried, with one request at a time.
+    /// If every fit target is avoided, one of those is tried, with one request
+    /// at a time.
     #[must_use]
     pub fn with_free_slot(
         &self,
         kind: &TargetKind,
         fit: impl Fn(&Target) -> bool,
-        prefer: Option<&str>,
+        which: FreeSlot<'_>,
         rng: &mut impl Rng,
         now: Instant,
     ) -> Option<Arc<Target>> {
@@ -458,9 +481,15 @@
             let idle = |t: &Arc<Target>| fits(&t) && t.in_flight() == 0;
             return any(all, idle, rng).cloned();
         }
-        let preferred = good().filter(is_free).find(|t| prefer == Some(t.listed.id.as_str()));
+        let mut free = good().filter(is_free);
         let least = || good().filter(is_free).min_by_key(|t| (score(t), rng.random::<u32>()));
-        preferred.or_else(least).cloned()
+        match which {
+            FreeSlot::At(wanted) => {
+                free.find(|t| wanted == Some(t.listed.id.as_str())).or_else(least).cloned()
+            }
+            // One whose pace isn't known yet counts as fast, so it gets known.
+            FreeSlot::Fastest => free.min_by_key(|t| (t.pace_us(), score(t))).cloned(),
+        }
     }
 
     /// Chooses a target.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,6 +25,7 @@
 pub use crate::budget::Budget;
 pub use crate::choose::Choice;
 pub use crate::choose::Competes;
+pub use crate::choose::FreeSlot;
 pub use crate::choose::Policy;
 pub use crate::choose::Target;
 pub use crate::choose::TargetSet;
--- a/crates/route/tests/slots.rs
+++ b/crates/route/tests/slots.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_route::FreeSlot;
 use cassia_route::Listed;
 use cassia_route::TargetKind;
 use cassia_route::TargetSet;
@@ -34,7 +35,7 @@
 
 fn take(set: &TargetSet, prefer: Option<&str>, now: Instant) -> Option<Use> {
     let mut rng = SmallRng::seed_from_u64(1);
-    set.with_free_slot(&kind(), |_| true, prefer, &mut rng, now)?.begin()
+    set.with_free_slot(&kind(), |_| true, FreeSlot::At(prefer), &mut rng, now)?.begin()
 }
 
 /// Pattern: a step's groups of four arrive at once.
@@ -160,3 +161,25 @@
     let slots: Vec<_> = std::iter::from_fn(|| take(&set, None, now)).collect();
     assert_eq!(slots.len(), 3);
 }
+
+/// Pattern: a third of the engines is slower for good, and a few items of a
+/// step are many times as long as the others.
+#[test]
+fn what_takes_long_goes_to_the_fastest_engine_that_has_a_slot() {
+    let now = Instant::now();
+    let set = set(now, 3);
+    let targets: Vec<_> = set.all().cloned().collect();
+    for (target, pace_ms) in targets.iter().zip([44, 34, 45]) {
+        set.paced(target, 4, Duration::from_millis(4 * pace_ms), now);
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut fastest = || {
+        let slot = set.with_free_slot(&kind(), |_| true, FreeSlot::Fastest, &mut rng, now);
+        slot.and_then(|target| target.begin())
+    };
+    let used: Vec<_> = (0..9).filter_map(|_| fastest()).collect();
+    let there = used.iter().filter(|slot| slot.target().listed.id == "e1").count();
+    assert_eq!(there, SLOTS as usize, "as long as it has slots");
+    assert_eq!(used[8].target().listed.id, "e0", "then the next fastest");
+    assert!(targets[1].is_faster_than(&targets[0]) && !targets[0].is_faster_than(&targets[2]));
+}
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -32,6 +32,8 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
 /// Events over which an engine's pace is measured.
 const PACE_EVENTS: u32 = 4;
+/// Measurements of a run's pace after which it counts as long.
+const LOOKS_BEFORE_MOVE: u32 = 5;
 /// The rank of items at engines: behind what callers wait for.
 const PRIORITY: u8 = 5;
 
@@ -50,7 +52,7 @@
     BrokeOff,
     /// What came does not fit the text so far, which must begin anew.
     Misfit,
-    /// The engine is slow and another has a slot: the run goes on there.
+    /// A faster engine has a slot: the run goes on there.
     Moves,
 }
 
@@ -61,7 +63,7 @@
     pub(crate) model: &'a ModelName,
     pub(crate) item: &'a Item,
     pub(crate) engine: &'a Use,
-    /// Whether an engine that isn't slow has a slot for the rest.
+    /// Whether a faster engine has a slot for the rest.
     pub(crate) has_other: &'a (dyn Fn() -> bool + Send + Sync),
 }
 
@@ -148,6 +150,7 @@
             return self.misfit(e);
         }
         let mut pace = PaceMeter { since: None, events: 0 };
+        let (mut looks, mut looked) = (0, 0);
         let mut parser = EventParser::new(VERSION_FIELD);
         loop {
             let bytes = match timeout(EVENT_GAP, body.frame()).await {
@@ -160,9 +163,6 @@
                 Ok(Some(Err(e))) => return self.broke_off(&e.to_string()),
                 Err(_) => return self.broke_off("silent"),
             };
-            if self.engine.target().is_slow() && text.last().is_some() && (self.has_other)() {
-                return self.moves();
-            }
             parser.push(&bytes);
             loop {
                 match parser.next_event() {
@@ -172,12 +172,20 @@
                         }
                         if let Some(took) = pace.count(Instant::now()) {
                             self.note_pace(took);
+                            looks += 1;
                         }
                     }
                     Ok(None) => break,
                     Err(e) => return self.broke_off(&e.to_string()),
                 }
             }
+            // One that is nearly done is better left where it is; which one
+            // that is shows only in how long it has run.
+            let is_long = looks >= LOOKS_BEFORE_MOVE;
+            let has_looked = std::mem::replace(&mut looked, looks) < looks;
+            if has_looked && (is_long || self.engine.target().is_slow()) && (self.has_other)() {
+                return self.moves();
+            }
         }
     }
 
@@ -195,7 +203,7 @@
 
     fn moves(&self) -> Generated {
         let (id, peer) = (self.item.id.as_str(), self.engine.target().listed.id.as_str());
-        log::info!(event = "run_moves", step = "generate", id, peer; "the engine is slow");
+        log::info!(event = "run_moves", step = "generate", id, peer; "a faster engine has a slot");
         Generated::Moves
     }
 
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -17,6 +17,7 @@
 use cassia_jobs::NextStep;
 use cassia_jobs::Reward;
 use cassia_jobs::Submission;
+use cassia_route::FreeSlot;
 use cassia_route::Route;
 use cassia_route::Target;
 use cassia_route::TargetKind;
@@ -39,6 +40,8 @@
 
 /// How long to wait for news of a free slot before looking again.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
+/// One in so many items of a job counts as long.
+const LONG_PART: usize = 4;
 /// Times that an item moves from a slow engine to another.
 const MOST_MOVES: u32 = 3;
 /// Pause while an item or its reward call has no route.
@@ -63,6 +66,8 @@
     job: Submission,
     model: ModelName,
     tx: mpsc::UnboundedSender<ItemResult>,
+    /// Items of which at least so many output tokens are expected are long.
+    long_from: u64,
 }
 
 /// An engine's slot; others are told when it is free again.
@@ -96,13 +101,19 @@
         tx: mpsc::UnboundedSender<ItemResult>,
     ) -> Self {
         let items = u32::try_from(submission.items.len()).unwrap_or(u32::MAX);
-        let pending = (0..items).filter(|index| !job.is_listed(*index)).collect();
+        let mut pending: Vec<_> = (0..items).filter(|index| !job.is_listed(*index)).collect();
+        // The longest first: a group is whole when its longest item is. The
+        // order of the job stays among those that are expected to be alike.
+        let expected = |index: &u32| submission.items[*index as usize].expected_output;
+        pending.sort_by_key(|index| std::cmp::Reverse(expected(index)));
+        let long_from = pending.get(pending.len() / LONG_PART).map_or(0, expected);
         let model = SmolStr::new(&submission.model);
-        let cx = Arc::new(JobCx { app, partition, job: submission, model, tx });
-        Self { cx, pending, homes: HashMap::new() }
+        let long_from = long_from.max(1);
+        let cx = Arc::new(JobCx { app, partition, job: submission, model, tx, long_from });
+        Self { cx, pending: pending.into(), homes: HashMap::new() }
     }
 
-    /// Runs the items in their order, as slots become free. Once the partition
+    /// Runs the items, the longest first, as slots become free. Once the partition
     /// is another process's, what has begun goes on and nothing else begins.
     pub(crate) async fn run(mut self) {
         let mut running = JoinSet::new();
@@ -157,7 +168,12 @@
             let mut freed = std::pin::pin!(freed);
             freed.as_mut().enable();
             let others = |target: &Target| !failed.contains(&target.listed.id);
-            let engine = self.free_engine(index, home, others);
+            let which = if self.item(index).expected_output >= self.long_from {
+                FreeSlot::Fastest
+            } else {
+                FreeSlot::At(home)
+            };
+            let engine = self.free_engine(index, which, others);
             let engine = engine.or_else(|| self.last_resort(index, failed));
             if let Some(engine) = engine {
                 return Some(Slot::new(Arc::clone(&self.app), engine));
@@ -175,7 +191,7 @@
         let targets = self.app.board.targets.load();
         let mut open = targets.of_kind(&kind).iter().filter(|target| target.is_open());
         if open.all(|target| failed.contains(&target.listed.id)) {
-            return self.free_engine(index, None, |_| true);
+            return self.free_engine(index, FreeSlot::At(None), |_| true);
         }
         None
     }
@@ -189,7 +205,7 @@
     fn free_engine(
         &self,
         index: u32,
-        home: Option<&str>,
+        which: FreeSlot<'_>,
         others: impl Fn(&Target) -> bool,
     ) -> Option<Use> {
         let kind = self.service(index)?;
@@ -200,7 +216,7 @@
         };
         let now = Instant::now();
         let targets = board.targets.load();
-        targets.with_free_slot(&kind, fit, home, &mut rand::rng(), now)?.begin()
+        targets.with_free_slot(&kind, fit, which, &mut rand::rng(), now)?.begin()
     }
 
     async fn run_item(self: Arc<Self>, index: u32, slot: Slot) {
@@ -281,7 +297,9 @@
             let so_far = text.get_or_insert_with(fresh);
             let host = &self.job.host;
             let has_other = || {
-                moves < MOST_MOVES && self.free_engine(index, None, |t| !t.is_slow()).is_some()
+                let own = engine.target();
+                let better = |t: &Target| !t.is_slow() && (own.is_slow() || t.is_faster_than(own));
+                moves < MOST_MOVES && self.free_engine(index, FreeSlot::Fastest, better).is_some()
             };
             let has_other = &has_other;
             let run = Run { app: &self.app, host, model: &self.model, item, engine, has_other };
