Prefer the own data centre; try no target twice that can't be reached

Ruled out: load (the targets beyond the cut were idle). Change: the target in the own data centre is taken unless it is busier by half its slots; one that no connection came about with is not tried again by the same request, which is then refused at once; a run goes on elsewhere after 1.6 s.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -197,7 +197,7 @@
         let wanted = Wanted {
             competes: Competes::Callers,
             affinity,
-            not: not.map(TargetId::as_str),
+            not: not.map_or(&[], std::slice::from_ref),
             ..Wanted::of(&kind)
         };
         // A target may close between the choice and this count; then another
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_ids::TargetId;
 use rand::Rng;
 use smallvec::SmallVec;
 
@@ -41,6 +42,9 @@
 const FASTER_PERCENT: u64 = 82;
 /// A score counts requests a slot in units of one over this.
 const SCORE_UNIT: u64 = 1_024;
+/// How much worse than the better of two random targets one in the wanted data
+/// centre may be, in score units.
+const NEAR_ALLOWANCE: u64 = SCORE_UNIT / 2;
 /// How much worse than the better of two random targets the one with the
 /// prompt's prefix in its cache may be, in score units.
 const AFFINITY_ALLOWANCE: u64 = SCORE_UNIT / 4;
@@ -88,8 +92,12 @@
     /// A hash of the prompt's prefix: requests that share it go to the same
     /// engine as long as that one is not much busier.
     pub affinity: Option<u64>,
-    /// A target that has just failed for this request.
-    pub not: Option<&'a str>,
+    /// Targets that this request was sent to already; one of them is taken only
+    /// if there is no other.
+    pub not: &'a [TargetId],
+    /// The data centre in which a target is preferred: it is reached also when
+    /// data centres are cut off from each other.
+    pub near: Option<&'a str>,
 }
 
 impl<'a> Wanted<'a> {
@@ -101,7 +109,8 @@
             policy: Policy::default(),
             competes: Competes::default(),
             affinity: None,
-            not: None,
+            not: &[],
+            near: None,
         }
     }
 }
@@ -497,7 +506,7 @@
     pub fn choose(&self, wanted: &Wanted<'_>, rng: &mut impl Rng, now: Instant) -> Choice {
         let all = self.of_kind(wanted.kind);
         let now_ms = self.millis(now);
-        let fit = |t: &Arc<Target>| t.is_open() && wanted.not != Some(t.listed.id.as_str());
+        let fit = |t: &Arc<Target>| t.is_open() && !wanted.not.contains(&t.listed.id);
         let good = |t: &Arc<Target>| fit(t) && !t.is_avoided(now_ms);
         let found = match wanted.policy {
             Policy::TwoChoices => two_choices(all, wanted, now_ms, good, rng),
@@ -551,6 +560,11 @@
     let one = any(all, &good, rng)?;
     let two = any(all, &good, rng)?;
     let better = if score(two) < score(one) { two } else { one };
+    let near = all.iter().filter(|t| good(t) && wanted.near == Some(&t.listed.data_centre));
+    if let Some(near) = near.min_by_key(|t| score(t)) {
+        let bound = score(better) + NEAR_ALLOWANCE;
+        return Some(if score(near) <= bound { near } else { better });
+    }
     let Some(prefix) = wanted.affinity else {
         return Some(better);
     };
--- a/crates/route/tests/slots.rs
+++ b/crates/route/tests/slots.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_route::Choice;
 use cassia_route::FreeSlot;
 use cassia_route::Listed;
 use cassia_route::TargetKind;
 use cassia_route::TargetSet;
 use cassia_route::Use;
+use cassia_route::Wanted;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -183,3 +185,39 @@
     assert_eq!(used[8].target().listed.id, "e0", "then the next fastest");
     assert!(targets[1].is_faster_than(&targets[0]) && !targets[0].is_faster_than(&targets[2]));
 }
+
+/// Pattern: data centres are cut off from each other; each has one target.
+#[test]
+fn a_request_stays_in_its_data_centre_unless_the_target_there_is_much_busier() {
+    let now = Instant::now();
+    let listed = |n: usize| Listed {
+        id: format!("e{n}").into(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        data_centre: format!("z{n}").into(),
+        what: kind(),
+        incarnation: 1,
+        leaving: false,
+        slots: SLOTS,
+        checks_fence: false,
+    };
+    let listed: Vec<_> = (0..3).map(listed).collect();
+    let set = TargetSet::empty(now).updated(&listed);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let kind = kind();
+    let mut choose = |not: Option<&str>| {
+        let not: Vec<_> = not.into_iter().map(Into::into).collect();
+        let wanted = Wanted { not: &not, near: Some("z1"), ..Wanted::of(&kind) };
+        match set.choose(&wanted, &mut rng, now) {
+            Choice::Target(target) => target,
+            Choice::NoneOpen => panic!("all are open"),
+        }
+    };
+    for _ in 0..20 {
+        assert_eq!(choose(None).listed.id, "e1");
+        assert_eq!(choose(Some("e0")).listed.id, "e1", "also for a second try");
+    }
+    assert_ne!(choose(Some("e1")).listed.id, "e1");
+    let target = choose(None);
+    let _busy: Vec<_> = (0..SLOTS).filter_map(|_| target.begin()).collect();
+    assert_ne!(choose(None).listed.id, "e1", "others have slots");
+}
--- a/crates/route/tests/view.rs
+++ b/crates/route/tests/view.rs
@@ -185,7 +185,8 @@
 
 fn chosen(set: &TargetSet, policy: Policy, not: Option<&str>, now: Instant) -> Arc<Target> {
     let kind = kind();
-    match set.choose(&Wanted { policy, not, ..Wanted::of(&kind) }, &mut rng(), now) {
+    let not: Vec<_> = not.into_iter().map(Into::into).collect();
+    match set.choose(&Wanted { policy, not: &not, ..Wanted::of(&kind) }, &mut rng(), now) {
         Choice::Target(target) => target,
         Choice::NoneOpen => panic!("there is a target"),
     }
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -69,8 +69,10 @@
 pub(crate) enum Ended {
     /// It answered; the answer is whole.
     Answer(Box<Answered>),
-    /// It did not run the request, by its own word or for want of a connection.
+    /// It did not run the request, by its own word.
     NotRun,
+    /// No connection came about.
+    Unreachable(TargetId),
     /// It may have run the request.
     Unknown,
 }
@@ -198,9 +200,8 @@
             let ended = tokio::time::timeout_at(self.deadline.into(), self.send(target)).await;
             match ended {
                 Ok(Ended::Answer(answered)) => return Outcome::Answer(answered),
-                Ok(Ended::NotRun) => {
-                    tally.sent = tally.sent.saturating_sub(1);
-                    tally.refusals += 1;
+                Ok(ended @ (Ended::NotRun | Ended::Unreachable(_))) => {
+                    tally.take(ended);
                     tokio::time::sleep(REFUSED_PAUSE).await;
                 }
                 Ok(Ended::Unknown) => return Outcome::Refused(Refusal::Lost),
@@ -223,14 +224,19 @@
         let kind = TargetKind::Service { name: self.service.clone() };
         let targets = self.app.board.targets.load();
         let mut wanted = Wanted::of(&kind);
-        wanted.not = tally.last_target.as_deref();
+        wanted.not = &tally.tried;
+        wanted.near = Some(&self.app.board.data_centre);
         let Choice::Target(target) = targets.choose(&wanted, &mut rand::rng(), Instant::now())
         else {
             return None;
         };
+        // A target that this request could not reach won't be reached by it.
+        if tally.unreachable.contains(&target.listed.id) {
+            return None;
+        }
         let counted = target.begin()?;
         log_attempt(self.app, self.id, &counted, tally.sent + 1);
-        tally.last_target = Some(target.listed.id.clone());
+        tally.tried.push(target.listed.id.clone());
         tally.sent += 1;
         Some(counted)
     }
@@ -300,7 +306,10 @@
         self.app.board.targets.load().failed(target.target(), Instant::now());
         let (id, peer) = (self.id.as_str(), listed.id.as_str());
         log::info!(event = "attempt_failed", step = e.step, id, peer; "{e}");
-        if e.kind == ErrorKind::Connect { Ended::NotRun } else { Ended::Unknown }
+        match e.kind {
+            ErrorKind::Connect => Ended::Unreachable(listed.id.clone()),
+            _ => Ended::Unknown,
+        }
     }
 }
 
@@ -360,7 +369,10 @@
     may_have_run: bool,
     wants_more: bool,
     last_not_run: bool,
-    last_target: Option<TargetId>,
+    /// Targets that it was sent to.
+    tried: Vec<TargetId>,
+    /// Of those, the ones that no connection came about with.
+    unreachable: Vec<TargetId>,
     /// A target's own failure, passed on if nothing better comes.
     failure: Option<Response<Bytes>>,
     failures: u32,
@@ -385,6 +397,11 @@
                 self.refusals += 1;
                 None
             }
+            Ended::Unreachable(target) => {
+                self.sent = self.sent.saturating_sub(1);
+                self.unreachable.push(target);
+                None
+            }
             Ended::Unknown => {
                 self.may_have_run = true;
                 None
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -27,7 +27,7 @@
 /// What the engine is told how long the item may take.
 const ITEM_PATIENCE: Duration = Duration::from_secs(20);
 /// Without another event for this long the run goes on elsewhere.
-const EVENT_GAP: Duration = Duration::from_millis(2_500);
+const EVENT_GAP: Duration = Duration::from_millis(1_600);
 /// How long an engine that refused an item is left alone.
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
 /// Events over which an engine's pace is measured.
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -42,17 +42,18 @@
     let kind = TargetKind::Service { name: service };
     let patience_ends = Instant::now() + head.patience.unwrap_or_else(|| route.timeout());
     let deadline = patience_ends.min(Instant::now() + route.timeout());
-    let mut last = None;
+    let mut tried = Vec::new();
     for _ in 0..route.max_attempts {
         let mut wanted = Wanted::of(&kind);
-        wanted.not = last.as_deref();
+        wanted.not = &tried;
+        wanted.near = Some(&app.board.data_centre);
         let targets = app.board.targets.load_full();
         let Choice::Target(target) = targets.choose(&wanted, &mut rand::rng(), Instant::now())
         else {
             break;
         };
         let Some(target) = target.begin() else { continue };
-        last = Some(target.target().listed.id.clone());
+        tried.push(target.target().listed.id.clone());
         let patience = patience_ends.saturating_duration_since(Instant::now());
         let listed = &target.target().listed;
         let request = target_request(
--- a/crates/trials/tests/platform.rs
+++ b/crates/trials/tests/platform.rs
@@ -315,6 +315,29 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_request_that_no_target_can_be_reached_for_is_refused_and_not_held() -> anyhow::Result<()>
+{
+    let fleet = Fleet::start().await?.with_targets(0, 2).await?;
+    let processes = start(&fleet, 1).await?;
+    let process = &processes[0].1;
+    let answered = || async { fleet.request(process, "/quote/1", "r0").await.status == 200 };
+    anyhow::ensure!(eventually(answered).await, "never answered");
+    for target in &fleet.targets {
+        target.crash();
+    }
+    // The connections that were open fail first; what they carried may have run.
+    for n in 0..4 {
+        fleet.request(process, "/quote/1", &format!("w{n}")).await;
+    }
+    let begun = Instant::now();
+    let answer = fleet.request(process, "/quote/1", "r1").await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(answer.retry_after.is_some(), "says when to come back");
+    assert!(begun.elapsed() < Duration::from_millis(1_500), "{:?}", begun.elapsed());
+    Ok(())
+}
+
 #[tokio::test]
 async fn at_its_own_deadline_a_request_gets_its_final_answer() -> anyhow::Result<()> {
     let mut fleet = Fleet::start().await?;
