Let a host take the lease on orders over from itself at once

Ruled out: the store (appends took 30 ms), engines (they refused nothing). Change: a process reads the lease stream at its start and claims at once what an earlier process of its host and address holds; renewals say when nobody else can have acted lately, so that needs no waiting either. The first claim ever needs none.

--- a/crates/lab/src/capacity.rs
+++ b/crates/lab/src/capacity.rs
@@ -364,7 +364,14 @@
     const OPERATIONS: u32 = 10_000;
     let act = |nonce, verb| {
         let resource = "orders/caption".into();
-        LeaseRecord::Act(Act { resource, holder: "host-17".into(), boot: u64::MAX, nonce, verb })
+        LeaseRecord::Act(Act {
+            resource,
+            holder: "host-17".into(),
+            boot: u64::MAX,
+            nonce,
+            verb,
+            clear: false,
+        })
     };
     let mut table = LeaseTable::default();
     table.apply(0, Some(&act(0, Verb::Claim { supersedes: None })));
--- a/crates/lease/src/contend.rs
+++ b/crates/lease/src/contend.rs
@@ -51,6 +51,8 @@
     stagger: Term,
     /// Not before this moment is another act worth sending.
     quiet_until: Instant,
+    /// Whether no two processes of one host ever run at once.
+    sole_on_host: bool,
 }
 
 /// A fixed length of time, named apart from the moments that structs keep.
@@ -83,9 +85,26 @@
             held: None,
             stagger: Term::ZERO,
             quiet_until: now,
+            sole_on_host: false,
         }
     }
 
+    /// Lets this process take over at once from an earlier one of its host,
+    /// which has ended for sure: two of them can't have one address.
+    #[must_use]
+    pub fn sole_on_host(mut self) -> Self {
+        self.sole_on_host = true;
+        self
+    }
+
+    /// Says whether an earlier process of this host holds the lease.
+    #[must_use]
+    pub fn is_own_before(&self, table: &LeaseTable) -> bool {
+        let lease = table.get(&self.resource);
+        self.sole_on_host
+            && lease.is_some_and(|l| l.holder == self.me && l.boot != self.boot && !l.released)
+    }
+
     /// Names the lease.
     #[must_use]
     pub fn resource(&self) -> &str {
@@ -129,7 +148,7 @@
                 self.append(now, Verb::Renew { fence })
             }
             (None, current) => {
-                let free = current.is_some_and(|lease| lease.released);
+                let free = current.is_some_and(|lease| lease.released) || self.is_own_before(table);
                 let supersedes = current.map(|lease| lease.last);
                 self.claim_when_due(now, free, supersedes)
             }
@@ -210,6 +229,7 @@
             boot: self.boot,
             nonce,
             verb,
+            clear: false,
         })
     }
 }
--- a/crates/lease/src/seat.rs
+++ b/crates/lease/src/seat.rs
@@ -13,6 +13,7 @@
 use crate::LeaseRecord;
 use crate::LeaseTable;
 use crate::Todo;
+use crate::Verb;
 
 /// What to append or to wait for.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,9 +33,9 @@
     pub since: Instant,
     /// Until when it is ours.
     pub until: Instant,
-    /// Whether the holder before let it go; if not, it may still be acting on
-    /// what it believed until its time was over.
-    pub after_release: bool,
+    /// Whether nobody on another host can have acted on it lately; if not, the
+    /// holder before may have acted until its time was over.
+    pub clear: bool,
 }
 
 impl Holding {
@@ -43,7 +44,7 @@
     /// this one's began.
     #[must_use]
     pub fn may_act(&self, now: Instant, quiet: Duration) -> bool {
-        self.after_release || now >= self.since + quiet
+        self.clear || now >= self.since + quiet
     }
 }
 
@@ -57,14 +58,26 @@
     since: Option<(Fence, Instant)>,
     /// Records after which the table is appended again.
     records_per_snapshot: u64,
+    /// The least time between the acts of two holders.
+    quiet: Quiet,
 }
 
+/// A fixed length of time, named apart from the moments that structs keep.
+type Quiet = Duration;
+
 impl Seat {
     /// Sets a seat up that knows nothing of the stream yet.
     #[must_use]
-    pub fn new(contender: Contender, records_per_snapshot: u64) -> Self {
+    pub fn new(contender: Contender, records_per_snapshot: u64, quiet: Quiet) -> Self {
         let follow = Follow::default();
-        Self { follow, contender, synced: false, since: None, records_per_snapshot }
+        Self { follow, contender, synced: false, since: None, records_per_snapshot, quiet }
+    }
+
+    /// Says whether an earlier process of this host holds the lease still, by
+    /// the stream; this one may take it over at once.
+    #[must_use]
+    pub fn is_own_before(&self) -> bool {
+        self.synced && self.contender.is_own_before(self.follow.state())
     }
 
     /// Lets seats of lower rank claim first.
@@ -110,8 +123,12 @@
             let table = self.follow.state().clone();
             return Some(Move::Append(LeaseRecord::Snapshot { table }));
         }
+        let may_act = self.holding(now).is_some_and(|holding| holding.may_act(now, self.quiet));
         Some(match self.contender.step(now, self.follow.state()) {
-            Todo::Append(act) => Move::Append(LeaseRecord::Act(act)),
+            Todo::Append(mut act) => {
+                act.clear = may_act && matches!(act.verb, Verb::Renew { .. });
+                Move::Append(LeaseRecord::Act(act))
+            }
             Todo::WaitUntil(at) => Move::WaitUntil(at),
         })
     }
@@ -129,18 +146,18 @@
         let (fence, until) = self.contender.held().filter(|(_, until)| now < *until)?;
         let (_, since) = self.since.filter(|(held, _)| *held == fence)?;
         let lease = self.follow.state().get(self.contender.resource());
-        let after_release = lease.is_some_and(|l| l.fence == fence && l.after_release);
-        Some(Holding { fence, since, until, after_release })
+        let clear = lease.is_some_and(|lease| lease.fence == fence && lease.clear);
+        Some(Holding { fence, since, until, clear })
     }
 
     /// Lets the lease go; none if it isn't ours.
     ///
     /// The next holder relies on it that nobody acted on the lease for the
-    /// least time between two holders, `quiet`. The caller answers for its own
+    /// least time between two holders. The caller answers for its own
     /// acts. If the holder before it fell silent less than that ago, the lease
     /// is left to lapse.
-    pub fn release(&mut self, now: Instant, quiet: Duration) -> Option<Act> {
-        let holding = self.holding(now);
+    pub fn release(&mut self, now: Instant) -> Option<Act> {
+        let (holding, quiet) = (self.holding(now), self.quiet);
         self.since = None;
         let act = self.contender.release(now)?;
         holding.filter(|holding| holding.may_act(now, quiet)).map(|_| act)
--- a/crates/lease/src/table.rs
+++ b/crates/lease/src/table.rs
@@ -41,6 +41,10 @@
     pub nonce: u64,
     /// What it does.
     pub verb: Verb,
+    /// With a renewal: the holder has waited until nobody else can have acted
+    /// on the lease lately.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub clear: bool,
 }
 
 /// The kinds of acts.
@@ -79,9 +83,10 @@
     pub nonce: u64,
     /// Whether the holder let it go.
     pub released: bool,
-    /// Whether the holder before had let it go, and not just fallen silent.
+    /// Whether nobody on another host can have acted on it lately: the holder
+    /// before had let it go, or this one has waited long enough.
     #[serde(default)]
-    pub after_release: bool,
+    pub clear: bool,
 }
 
 /// What became of an act.
@@ -100,6 +105,9 @@
 pub struct LeaseTable {
     next: Offset,
     leases: BTreeMap<SmolStr, Lease>,
+    /// Whether leases were ended because older records are lost.
+    #[serde(default)]
+    reset: bool,
 }
 
 impl LeaseTable {
@@ -116,8 +124,12 @@
                 if supersedes != current.as_ref().map(|l| l.last) {
                     return Verdict::Refused;
                 }
-                let after_release = current.is_some_and(|lease| lease.released);
-                let lease = Lease::claimed(offset, act, after_release);
+                let clear = match &current {
+                    // Nobody ever held it, unless what was known is lost.
+                    None => !self.reset,
+                    Some(lease) => lease.released || (lease.clear && lease.holder == act.holder),
+                };
+                let lease = Lease::claimed(offset, act, clear);
                 self.leases.insert(act.resource.clone(), lease);
                 Verdict::Accepted
             }
@@ -129,7 +141,7 @@
 }
 
 impl Lease {
-    fn claimed(offset: Offset, act: &Act, after_release: bool) -> Self {
+    fn claimed(offset: Offset, act: &Act, clear: bool) -> Self {
         Self {
             holder: act.holder.clone(),
             boot: act.boot,
@@ -137,7 +149,7 @@
             last: offset,
             nonce: act.nonce,
             released: false,
-            after_release,
+            clear,
         }
     }
 
@@ -148,6 +160,7 @@
         self.last = offset;
         self.nonce = act.nonce;
         self.released = released;
+        self.clear |= act.clear;
         Verdict::Accepted
     }
 }
@@ -166,6 +179,7 @@
             Some(LeaseRecord::Act(act)) => self.judge(offset, act),
             Some(LeaseRecord::Reset) => {
                 self.leases.clear();
+                self.reset = true;
                 Verdict::Passed
             }
             Some(LeaseRecord::Snapshot { .. }) | None => Verdict::Passed,
@@ -176,7 +190,7 @@
         match record {
             LeaseRecord::Snapshot { table } => Some(Cow::Borrowed(table)),
             LeaseRecord::Reset => {
-                Some(Cow::Owned(Self { next: offset + 1, leases: BTreeMap::new() }))
+                Some(Cow::Owned(Self { next: offset + 1, leases: BTreeMap::new(), reset: true }))
             }
             LeaseRecord::Act(_) => None,
         }
--- a/crates/lease/tests/contest.rs
+++ b/crates/lease/tests/contest.rs
@@ -181,7 +181,14 @@
 #[test]
 fn without_the_superseded_record_a_late_claim_would_take_the_lease_away() {
     let act = |boot, nonce, verb| {
-        LeaseRecord::Act(Act { resource: "orders".into(), holder: "h".into(), boot, nonce, verb })
+        LeaseRecord::Act(Act {
+            resource: "orders".into(),
+            holder: "h".into(),
+            boot,
+            nonce,
+            verb,
+            clear: false,
+        })
     };
     let mut table = LeaseTable::default();
     let mut apply = |record| {
--- a/crates/lease/tests/seat.rs
+++ b/crates/lease/tests/seat.rs
@@ -47,6 +47,10 @@
     }
 }
 
+fn host(n: u64) -> cassia_ids::HostId {
+    format!("h{n}").into()
+}
+
 /// What happens to a seat in one step of time.
 #[derive(Clone, Copy, Debug)]
 enum Fate {
@@ -60,6 +64,8 @@
     AppendIsLost,
     /// It lets go.
     LetsGo,
+    /// Its process dies and another one of its host begins anew.
+    Restarts,
 }
 
 fn fate() -> impl Strategy<Value = Fate> {
@@ -69,6 +75,7 @@
         1 => Just(Fate::AppendsLate),
         1 => Just(Fate::AppendIsLost),
         1 => Just(Fate::LetsGo),
+        1 => Just(Fate::Restarts),
     ]
 }
 
@@ -77,13 +84,14 @@
     let begun = Instant::now();
     let mut stream = Stream::default();
     let seat = |n: u64| {
-        let contender = Contender::new("orders".into(), "h".into(), n, TERM, begun);
-        Seat::new(contender, PER_SNAPSHOT)
+        let contender = Contender::new("orders".into(), host(n), n, TERM, begun);
+        Seat::new(contender.sole_on_host(), PER_SNAPSHOT, QUIET)
     };
     let mut seats: Vec<_> = (0..3).map(seat).collect();
     let mut late: Vec<(usize, LeaseRecord)> = Vec::new();
     let (mut highest, mut held) = (0, 0);
     let mut done: [Option<Instant>; 3] = [None; 3];
+    let mut boots = 3;
     for (tick, fates) in fates.iter().enumerate() {
         let now = begun + STEP * u32::try_from(tick).expect("short");
         for (_, record) in late.extract_if(.., |(at, _)| *at <= tick) {
@@ -93,13 +101,18 @@
             if matches!(fate, Fate::Pauses) {
                 continue;
             }
+            if matches!(fate, Fate::Restarts) {
+                boots += 1;
+                let contender = Contender::new("orders".into(), host(n as u64), boots, TERM, now);
+                *seat = Seat::new(contender.sole_on_host(), PER_SNAPSHOT, QUIET);
+            }
             stream.read_into(seat, now);
             if matches!(fate, Fate::LetsGo) {
                 // Only after its own acts are far enough back.
                 if done[n].is_some_and(|at| now < at + QUIET) {
                     continue;
                 }
-                if let Some(act) = seat.release(now, QUIET) {
+                if let Some(act) = seat.release(now) {
                     stream.append(LeaseRecord::Act(act));
                 }
                 continue;
@@ -164,11 +177,22 @@
     assert!(held > 160, "{held} of 200 steps");
 }
 
+#[test]
+fn a_host_that_comes_back_takes_over_from_itself_at_once() {
+    let mut fates = vec![[Fate::Runs; 3]; 80];
+    let runs = play(&fates, false);
+    for seat in 0..3 {
+        fates[60][seat] = Fate::Restarts;
+    }
+    let restarted = play(&fates, false);
+    assert!(restarted + 4 >= runs, "{restarted} of {runs} steps");
+}
+
 #[test]
 fn a_seat_that_has_not_read_to_the_end_does_not_contend() {
     let now = Instant::now();
-    let contender = Contender::new("orders".into(), "h".into(), 1, TERM, now);
-    let mut seat = Seat::new(contender, PER_SNAPSHOT);
+    let contender = Contender::new("orders".into(), host(1), 1, TERM, now);
+    let mut seat = Seat::new(contender, PER_SNAPSHOT, QUIET);
     let later = now + 2 * TERM;
     assert_eq!(seat.step(later), None);
     seat.take(0, 0, &[], 5, later);
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -30,6 +30,7 @@
 use cassia_platform::StoreErrorKind;
 use cassia_route::Heartbeat;
 use futures::future::join_all;
+use smol_str::format_smolstr;
 
 use crate::app::App;
 use crate::order;
@@ -59,12 +60,13 @@
 /// Runs until a planned stop, and lets the lease go then.
 pub(crate) async fn run(app: Arc<App>) {
     let mut weights = Weights::new(&app);
+    weights.read_at_start(&app).await;
     while !app.board.is_stopping() {
         let rank = app.board.owned.borrow().first().copied().filter(|rank| *rank < CONTENDERS);
         if let Some(rank) = rank {
             weights.seat.prefer(rank);
         }
-        if rank.is_some() || weights.held.is_some() {
+        if rank.is_some() || weights.held.is_some() || weights.seat.is_own_before() {
             weights.round(&app).await;
         }
         app.board.pause(EVERY).await;
@@ -86,12 +88,22 @@
 impl Weights {
     fn new(app: &App) -> Self {
         let now = app.clock.now();
-        let (host, boot) = (app.board.host.clone(), app.board.boot);
-        let contender = Contender::new(LEASE.into(), host, boot, TERM, now);
-        let seat = Seat::new(contender, RECORDS_PER_SNAPSHOT);
+        // The address tells apart hosts that follow each other under one name,
+        // and no two processes can have it at once.
+        let holder = format_smolstr!("{}@{}", app.board.host, app.settings.listen);
+        let contender = Contender::new(LEASE.into(), holder, app.board.boot, TERM, now);
+        let seat = Seat::new(contender.sole_on_host(), RECORDS_PER_SNAPSHOT, quiet(app));
         Self { seat, swaps: BTreeMap::new(), held: None, stranded_until: None, last_order: None }
     }
 
+    /// Reads the stream once, whoever this process is: it may take over at once
+    /// from its host's earlier process, while others wait for a term.
+    async fn read_at_start(&mut self, app: &App) {
+        while !app.board.is_stopping() && self.read(app).await.is_err() {
+            app.board.pause(EVERY).await;
+        }
+    }
+
     async fn round(&mut self, app: &Arc<App>) {
         if let Err(e) = self.contend(app).await {
             log::debug!(event = "store_away", step = e.step; "{e}");
@@ -165,7 +177,7 @@
             self.note_held(self.seat.holding(app.clock.now()));
             tokio::time::sleep(EVERY).await;
         }
-        let Some(act) = self.seat.release(app.clock.now(), quiet(app)) else {
+        let Some(act) = self.seat.release(app.clock.now()) else {
             return;
         };
         self.note_held(None);
