Say why an item was given up; golden explanations; check the new settings

Change: reward calls that fail are logged under the item's id, the reason stands in the line and in the explanation; a job's own verdict goes before its items'. Tests: explain::explain (golden), programs::*.

--- a/crates/explain/src/verdict.rs
+++ b/crates/explain/src/verdict.rs
@@ -32,6 +32,9 @@
             "{id}: no line tells of it; it reached no host, or its lines were left out"
         );
     }
+    if let Some(line) = last("job_submitted") {
+        return job(id, line, lines);
+    }
     if let Some(line) = last("request_refused") {
         return refused(id, line, lines);
     }
@@ -47,9 +50,6 @@
     if let Some(line) = last("item_given_up") {
         return given_up(id, line, lines);
     }
-    if let Some(line) = last("job_submitted") {
-        return job(id, line, lines);
-    }
     if let Some(line) = last("item_done") {
         return format!(
             "{id}: done in {} ms by versions {}{}",
@@ -90,7 +90,8 @@
 }
 
 fn given_up(id: &str, line: &Line, lines: &[Line]) -> String {
-    format!("{id}: given up after {} ms{}", value(line, "took_ms"), detours(lines))
+    let (took, why) = (value(line, "took_ms"), value(line, "why"));
+    format!("{id}: given up after {took} ms, since {why}{}", detours(lines))
 }
 
 fn job(id: &str, submitted: &Line, lines: &[Line]) -> String {
@@ -125,6 +126,8 @@
         ("run_broke_off", "broke off"),
         ("run_misfit", "did not fit"),
         ("run_moves", "moved from a slow engine"),
+        ("reward_failed", "had its reward call fail"),
+        ("reward_refused", "had its reward call refused"),
         ("foreign_answer", "got another request's answer"),
     ] {
         let count = count(event);
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -70,6 +70,33 @@
     long_from: u64,
 }
 
+/// Why an item's result is what it is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Why {
+    /// Its text is whole and scored.
+    Done,
+    /// An engine says that it can never be done.
+    Impossible,
+    /// Engines ran it as often as its route allows, and failed.
+    Attempts,
+    /// Its reward call failed as often as its route allows.
+    Reward,
+    /// It was kept as long as its route allows.
+    Overdue,
+}
+
+impl Why {
+    fn text(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Impossible => "can never be done",
+            Self::Attempts => "its attempts all failed",
+            Self::Reward => "its reward call failed",
+            Self::Overdue => "kept long enough",
+        }
+    }
+}
+
 /// An engine's slot; others are told when it is free again.
 #[derive(Debug)]
 struct Slot {
@@ -221,7 +248,7 @@
 
     async fn run_item(self: Arc<Self>, index: u32, slot: Slot) {
         let begun = Instant::now();
-        let Some(result) = self.result(index, slot).await else {
+        let Some((result, why)) = self.result(index, slot).await else {
             return;
         };
         let (id, job, took) = (result.item.as_str(), result.job.as_str(), begun.elapsed());
@@ -231,7 +258,7 @@
             log::info!(event = "item_done", step = "run", id, job, versions, took_ms; "done");
             self.app.metrics.count("item.completed", &self.model);
         } else {
-            log::info!(event = "item_given_up", step = "run", id, job, took_ms; "given up");
+            log::info!(event = "item_given_up", step = "run", id, job, took_ms, why = why.text(); "given up");
             self.app.metrics.count("item.given_up", &self.model);
         }
         self.app.metrics.time("item.time", &self.model, took);
@@ -239,20 +266,22 @@
         let _ = self.tx.send(result);
     }
 
-    /// Works an item's result out; none if another process is to do it.
-    async fn result(&self, index: u32, slot: Slot) -> Option<ItemResult> {
+    /// Works an item's result out, and why it is one without a text; none if
+    /// another process is to do it.
+    async fn result(&self, index: u32, slot: Slot) -> Option<(ItemResult, Why)> {
         let item = self.item(index);
-        let Some((text, versions)) = self.text(index, slot).await? else {
-            return Some(self.errored(index));
+        let (text, versions) = match self.text(index, slot).await? {
+            Ok(text) => text,
+            Err(why) => return Some((self.errored(index), why)),
         };
         let score = match &item.reward {
             None => String::new(),
-            Some(reward) => match self.score(reward).await {
+            Some(reward) => match self.score(&item.id, reward).await {
                 Some(score) => score.into(),
-                None => return Some(self.errored(index)),
+                None => return Some((self.errored(index), Why::Reward)),
             },
         };
-        Some(ItemResult {
+        let result = ItemResult {
             job: self.job.id.clone(),
             index,
             item: item.id.clone(),
@@ -260,7 +289,8 @@
             text,
             versions,
             score,
-        })
+        };
+        Some((result, Why::Done))
     }
 
     fn errored(&self, index: u32) -> ItemResult {
@@ -272,8 +302,8 @@
         }
     }
 
-    /// Generates an item's text; inside, none if the item is given up.
-    async fn text(&self, index: u32, slot: Slot) -> Option<Option<(String, Vec<u64>)>> {
+    /// Generates an item's text; inside, why it is given up.
+    async fn text(&self, index: u32, slot: Slot) -> Option<Result<(String, Vec<u64>), Why>> {
         let item = self.item(index);
         let mut attempts = Attempts::default();
         let mut next = Some(slot);
@@ -286,7 +316,7 @@
                 continue;
             };
             if self.is_overdue(&route) {
-                return Some(None);
+                return Some(Err(Why::Overdue));
             }
             let slot = match next.take() {
                 Some(slot) => slot,
@@ -307,12 +337,12 @@
             let tried = engine.target().listed.id.clone();
             drop(slot);
             match generated {
-                Generated::Whole => return Some(text.map(ItemText::finish)),
-                Generated::Impossible => return Some(None),
+                Generated::Whole => return text.map(|text| Ok(text.finish())),
+                Generated::Impossible => return Some(Err(Why::Impossible)),
                 Generated::Failed => {
                     failed.push(tried);
                     if attempts.failed(route.max_attempts) == NextStep::GiveUp {
-                        return Some(None);
+                        return Some(Err(Why::Attempts));
                     }
                 }
                 Generated::Moves => {
@@ -330,7 +360,7 @@
     }
 
     /// Has a text scored; none if the scorer fails for good.
-    async fn score(&self, reward: &Reward) -> Option<SmolStr> {
+    async fn score(&self, item: &str, reward: &Reward) -> Option<SmolStr> {
         let mut attempts = Attempts::default();
         loop {
             let Some(route) = self.route(&reward.host, &reward.path) else {
@@ -345,6 +375,8 @@
                     attempts.broke_off();
                 }
                 Outcome::Failed(_, failures) => {
+                    let call = reward.id.as_str();
+                    log::info!(event = "reward_failed", step = "score", id = item, call, failures; "its targets ran it and failed");
                     for _ in 0..failures {
                         if attempts.failed(route.max_attempts) == NextStep::GiveUp {
                             return None;
@@ -356,7 +388,11 @@
                         return None;
                     }
                 }
-                Outcome::Refused(_) => attempts.broke_off(),
+                Outcome::Refused(refusal) => {
+                    let (call, kind) = (reward.id.as_str(), refusal.kind());
+                    log::info!(event = "reward_refused", step = "score", id = item, call, kind; "no target's answer");
+                    attempts.broke_off();
+                }
             }
             sleep(Duration::from_millis(attempts.pause_ms())).await;
         }
--- a/crates/trials/tests/programs.rs
+++ b/crates/trials/tests/programs.rs
@@ -58,10 +58,36 @@
     }
 }
 
+/// The program for the platform has settings of its own.
+#[test]
+fn the_platform_s_settings_are_checked_all_at_once() {
+    let good = ["--host=h1", "--data-centre=z1", "--listen=127.0.0.1:1", "--ready=127.0.0.1:2"];
+    let mut checked = program("cassia-serve");
+    checked.args(good).args(["--store=127.0.0.1:3", "--check"]);
+    assert!(checked.output().expect("it runs").status.success());
+    let bad = program("cassia-serve")
+        .args(["--listen=nowhere", "--store-parts=0", "--lease-ms=soon"])
+        .output()
+        .expect("it runs");
+    assert_eq!(bad.status.code(), Some(2));
+    let told = String::from_utf8_lossy(&bad.stderr).into_owned();
+    for part in [
+        "--host is missing",
+        "--listen is \"nowhere\"; accepted: IP:PORT",
+        "--ready is missing",
+        "--store is missing",
+        "--store-parts is \"0\"; accepted: a whole number from 1",
+        "--lease-ms is \"soon\"",
+    ] {
+        assert!(told.contains(part), "{part}: {told}");
+    }
+}
+
 #[rstest]
 #[case("cassia-entry")]
 #[case("cassia-rollout")]
 #[case("cassia-control")]
+#[case("cassia-serve")]
 #[case("cassiactl")]
 fn help_is_as_it_was(#[case] name: &str) {
     let help = program(name).arg("--help").output().expect("it runs");
