Let at most a quarter of a model's engines load at once; log what items wait for

Cause: a version is named at the moment its trainer's next step comes, and seven of the model's twelve engines were taken off just then (grown sites, from the logs: items began 1 to 4 s late).

--- a/crates/explain/src/verdict.rs
+++ b/crates/explain/src/verdict.rs
@@ -111,9 +111,16 @@
         0 => String::new(),
         count => format!(", {count} given up"),
     };
+    let waits = lines.iter().filter(|line| line.event() == "items_wait");
+    let fewest = waits.filter_map(|line| value(line, "fit").parse::<u32>().ok()).min();
+    let waited = fewest.map_or_else(String::new, |fit| {
+        format!(", items waited when only {fit} engines were new enough")
+    });
     let ended = find("job_ended").map_or_else(String::new, |l| format!(", ended at {}", l.time));
     let (done, items) = (done.len(), value(submitted, "items"));
-    format!("{accepted}, begun by {by}, {done} of {items} items done{slowest}{given_up}{ended}")
+    format!(
+        "{accepted}, begun by {by}, {done} of {items} items done{slowest}{given_up}{waited}{ended}"
+    )
 }
 
 /// What went wrong on the way, if anything.
--- a/crates/lease/tests/seat.rs
+++ b/crates/lease/tests/seat.rs
@@ -181,9 +181,7 @@
 fn a_host_that_comes_back_takes_over_from_itself_at_once() {
     let mut fates = vec![[Fate::Runs; 3]; 80];
     let runs = play(&fates, false);
-    for seat in 0..3 {
-        fates[60][seat] = Fate::Restarts;
-    }
+    fates[60] = [Fate::Restarts; 3];
     let restarted = play(&fates, false);
     assert!(restarted + 4 >= runs, "{restarted} of {runs} steps");
 }
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -27,6 +27,7 @@
 pub use crate::swap::EngineState;
 pub use crate::swap::Swaps;
 pub use crate::swap::at_once;
+pub use crate::swap::most_of_model;
 
 /// Engines that stage at once: as many as the weight store serves.
 const STAGED_AT_ONCE: usize = 4;
--- a/crates/orders/src/swap.rs
+++ b/crates/orders/src/swap.rs
@@ -10,6 +10,8 @@
 
 /// Engines of which one loads at a time; more at once are slower.
 const ENGINES_PER_LOAD: usize = 5;
+/// Engines of one model of which one loads at a time.
+const ENGINES_PER_MODEL_LOAD: usize = 4;
 /// How long an order may take before the engine is asked again what it does.
 const LOAD_LIMIT: Duration = Duration::from_millis(2_500);
 /// How long an engine that did not take an order is left alone.
@@ -22,6 +24,13 @@
     ((engines + ENGINES_PER_LOAD / 2) / ENGINES_PER_LOAD).max(1)
 }
 
+/// Counts how many of one model's engines may load at once. Its next step
+/// begins when a version is named, and needs the others just then.
+#[must_use]
+pub fn most_of_model(engines: usize) -> usize {
+    engines.div_ceil(ENGINES_PER_MODEL_LOAD).max(1)
+}
+
 /// What is known of one engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineState {
--- a/crates/orders/tests/swap.rs
+++ b/crates/orders/tests/swap.rs
@@ -7,6 +7,7 @@
 use cassia_orders::EngineState;
 use cassia_orders::Swaps;
 use cassia_orders::at_once;
+use cassia_orders::most_of_model;
 use rstest::rstest;
 
 fn engine(n: usize, version: u64) -> EngineState {
@@ -105,3 +106,14 @@
     let ids: BTreeSet<_> = swaps.next(&engines, 2, 1, now).into_iter().collect();
     assert_eq!(ids.len(), 1);
 }
+
+/// Pattern: a version is named at the moment at which its trainer's next step
+/// comes.
+#[rstest]
+#[case::single_model(9, 2)]
+#[case::share_of_three(12, 3)]
+#[case::one_engine(1, 1)]
+fn most_engines_of_a_model_serve_while_some_load(#[case] engines: usize, #[case] most: usize) {
+    let limit = if engines == 12 { at_once(36) } else { at_once(engines) };
+    assert_eq!(limit.min(most_of_model(engines)), most);
+}
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -44,6 +44,8 @@
 const LONG_PART: usize = 4;
 /// Times that an item moves from a slow engine to another.
 const MOST_MOVES: u32 = 3;
+/// How long an item waits for an engine before that is logged, again and again.
+const TELL_WAIT_AFTER: Duration = Duration::from_secs(1);
 /// Pause while an item or its reward call has no route.
 const ROUTE_PAUSE: Duration = Duration::from_millis(300);
 /// Beyond the time that an item is kept: hosts' times of day differ.
@@ -187,6 +189,7 @@
     ///
     /// It goes to one of the engines in `failed` only if there is no other.
     async fn slot(&self, index: u32, home: Option<&str>, failed: &[TargetId]) -> Option<Slot> {
+        let mut tell_at = Instant::now() + TELL_WAIT_AFTER;
         loop {
             if !self.is_owned() {
                 return None;
@@ -205,10 +208,31 @@
             if let Some(engine) = engine {
                 return Some(Slot::new(Arc::clone(&self.app), engine));
             }
+            if Instant::now() >= tell_at {
+                tell_at = Instant::now() + TELL_WAIT_AFTER;
+                self.tell_wait(index);
+            }
             let _ = timeout(LOOK_AGAIN, freed).await;
         }
     }
 
+    /// Says what an item waits for: a version that too few engines have, or a
+    /// slot.
+    fn tell_wait(&self, index: u32) {
+        let board = &self.app.board;
+        let (mut engines, mut fit) = (0_u32, 0_u32);
+        if let Some(kind) = self.service(index) {
+            for target in board.targets.load().of_kind(&kind).iter().filter(|t| t.is_open()) {
+                let version = board.version_of(&target.listed.id, &self.model).unwrap_or(0);
+                engines += 1;
+                fit += u32::from(version >= self.job.min_version);
+            }
+        }
+        let (id, job) = (self.item(index).id.as_str(), self.job.id.as_str());
+        let min_version = self.job.min_version;
+        log::info!(event = "items_wait", step = "choose", id, job, min_version, engines, fit; "no slot at an engine that is new enough");
+    }
+
     /// Any engine with a free slot, if all that are here have failed the item.
     fn last_resort(&self, index: u32, failed: &[TargetId]) -> Option<Use> {
         if failed.is_empty() {
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -24,6 +24,7 @@
 use cassia_orders::Served;
 use cassia_orders::Swaps;
 use cassia_orders::at_once;
+use cassia_orders::most_of_model;
 use cassia_orders::share;
 use cassia_platform::PartitionRef;
 use cassia_platform::StoreError;
@@ -245,6 +246,9 @@
             });
             let next = models.iter().find_map(|(model, version, engines)| {
                 let swaps = self.swaps.get_mut(*model)?;
+                if swaps.under_way().count() >= most_of_model(engines.len()) {
+                    return None;
+                }
                 let id = swaps.next(engines, *version, 1, now).pop()?;
                 let engine = engines.iter().find(|engine| engine.id == id)?.clone();
                 swaps.loads(&engine, *version, now);
