Let every other engine follow a second model

Cause: each step found the ten engines of its model only, sixty slots for up to 144 items, while engines of the two other models idled between their steps (items_wait lines: fit 7 to 10 of 30). Ruled out: more loads at a time (they are slower beyond a fifth). Change: engines follow one model or two, so each model has half as many engines again; an engine may skip every other version.

--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -22,6 +22,7 @@
 use cassia_ids::Version;
 
 pub use crate::share::EngineModels;
+pub use crate::share::Followed;
 pub use crate::share::Served;
 pub use crate::share::share;
 pub use crate::swap::EngineState;
--- a/crates/orders/src/share.rs
+++ b/crates/orders/src/share.rs
@@ -17,18 +17,26 @@
     pub versions: BTreeMap<ModelName, Version>,
 }
 
+/// The models that an engine follows.
+pub type Followed = BTreeSet<ModelName>;
+
 /// Shares the engines out to the models that they have, as evenly as can be.
 ///
 /// A model for which no version was named yet has its share too: its trainer
-/// may be about to name one. An engine goes to the model of which its version is least behind, so shares
-/// stay what they are from round to round and after a change of holder, and
-/// engines that come or go move few others. If every engine followed every
-/// model, most of them would be loading most of the time.
+/// may be about to name one. An engine goes to the model of which its version
+/// is least behind, so shares stay what they are from round to round and after
+/// a change of holder, and engines that come or go move few others. If every
+/// engine followed every model, most of them would be loading most of the time.
+///
+/// With several models every other engine follows a second one. Steps of
+/// different trainers seldom come together, so each finds more engines than its
+/// even share; an engine may skip every other version, which makes the loads
+/// no more.
 #[must_use]
 pub fn share(
     engines: &[EngineModels],
     wanted: &BTreeMap<ModelName, Version>,
-) -> BTreeMap<TargetId, ModelName> {
+) -> BTreeMap<TargetId, Followed> {
     let mut pairs = Vec::new();
     for engine in engines {
         for (model, version) in &engine.versions {
@@ -39,16 +47,29 @@
     pairs.sort_unstable();
     let models: BTreeSet<_> = pairs.iter().map(|(_, _, _, model)| *model).collect();
     let quota = engines.len().div_ceil(models.len().max(1));
-    let mut counts: BTreeMap<&ModelName, usize> = BTreeMap::new();
     let mut shares = BTreeMap::new();
+    deal(&pairs, quota, 1, &mut shares);
+    if models.len() > 1 {
+        deal(&pairs, quota + quota / 2, 2, &mut shares);
+    }
+    shares
+}
+
+/// Gives engines that follow fewer than `most` models another one, as long as
+/// that has fewer engines than its quota.
+fn deal(
+    pairs: &[(u64, u64, &TargetId, &ModelName)],
+    quota: usize,
+    most: usize,
+    shares: &mut BTreeMap<TargetId, Followed>,
+) {
     for (_, _, id, model) in pairs {
-        let count = counts.entry(model).or_default();
-        if *count < quota && !shares.contains_key(id) {
-            *count += 1;
-            shares.insert(id.clone(), model.clone());
+        let count = shares.values().filter(|followed| followed.contains(*model)).count();
+        let followed = shares.get(*id).map_or(0, BTreeSet::len);
+        if count < quota && followed < most {
+            shares.entry((*id).clone()).or_default().insert((*model).clone());
         }
     }
-    shares
 }
 
 /// How well a model is served by its share; the least served loads next.
--- a/crates/orders/src/swap.rs
+++ b/crates/orders/src/swap.rs
@@ -63,16 +63,9 @@
 
 impl Swaps {
     /// Chooses the engines that are to load the version now, at most so many,
-    /// the furthest behind and the least busy first.
+    /// the furthest behind and the least busy first. Call `settle` before.
     #[must_use]
-    pub fn next(
-        &mut self,
-        engines: &[EngineState],
-        wanted: Version,
-        most: usize,
-        now: Instant,
-    ) -> Vec<TargetId> {
-        self.settle(engines, now);
+    pub fn next(&self, engines: &[EngineState], wanted: Version, most: usize) -> Vec<TargetId> {
         let is_due = |engine: &&EngineState| {
             let is_behind = engine.version.is_some_and(|version| version < wanted);
             is_behind && !engine.leaving && !self.ordered.contains_key(&engine.id)
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -30,6 +31,7 @@
 use tokio::time::timeout;
 
 use crate::app::App;
+use crate::board::lock;
 use crate::call::Call;
 use crate::call::Outcome;
 use crate::call::Outgoing;
@@ -70,6 +72,8 @@
     tx: mpsc::UnboundedSender<ItemResult>,
     /// Items of which at least so many output tokens are expected are long.
     long_from: u64,
+    /// When to say next what the items wait for.
+    tell_wait_at: Mutex<Instant>,
 }
 
 /// Why an item's result is what it is.
@@ -138,7 +142,10 @@
         let long_from = pending.get(pending.len() / LONG_PART).map_or(0, expected);
         let model = SmolStr::new(&submission.model);
         let long_from = long_from.max(1);
-        let cx = Arc::new(JobCx { app, partition, job: submission, model, tx, long_from });
+        let tell_wait_at = Mutex::new(Instant::now());
+        let job = submission;
+        let cx = JobCx { app, partition, job, model, tx, long_from, tell_wait_at };
+        let cx = Arc::new(cx);
         Self { cx, pending: pending.into(), homes: HashMap::new() }
     }
 
@@ -189,7 +196,7 @@
     ///
     /// It goes to one of the engines in `failed` only if there is no other.
     async fn slot(&self, index: u32, home: Option<&str>, failed: &[TargetId]) -> Option<Slot> {
-        let mut tell_at = Instant::now() + TELL_WAIT_AFTER;
+        let tell_from = Instant::now() + TELL_WAIT_AFTER;
         loop {
             if !self.is_owned() {
                 return None;
@@ -208,17 +215,23 @@
             if let Some(engine) = engine {
                 return Some(Slot::new(Arc::clone(&self.app), engine));
             }
-            if Instant::now() >= tell_at {
-                tell_at = Instant::now() + TELL_WAIT_AFTER;
+            if Instant::now() >= tell_from {
                 self.tell_wait(index);
             }
             let _ = timeout(LOOK_AGAIN, freed).await;
         }
     }
 
-    /// Says what an item waits for: a version that too few engines have, or a
-    /// slot.
+    /// Says now and then, for one item of the job, what it waits for: a version
+    /// that too few engines have, or a slot.
     fn tell_wait(&self, index: u32) {
+        {
+            let mut next = lock(&self.tell_wait_at);
+            if Instant::now() < *next {
+                return;
+            }
+            *next = Instant::now() + TELL_WAIT_AFTER;
+        }
         let board = &self.app.board;
         let (mut engines, mut fit) = (0_u32, 0_u32);
         if let Some(kind) = self.service(index) {
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -230,13 +230,15 @@
         let shares = share(&all, wanted);
         let mut models = Vec::new();
         for (model, version) in wanted {
-            let own = |engine: &EngineState| shares.get(&engine.id) == Some(model);
+            let own = |engine: &EngineState| {
+                shares.get(&engine.id).is_some_and(|models| models.contains(model))
+            };
             let engines: Vec<_> = engines(app, model).into_iter().filter(own).collect();
             self.swaps.entry(model.clone()).or_default().settle(&engines, now);
             models.push((model, *version, engines));
         }
         let under_way: usize = self.swaps.values().map(|swaps| swaps.under_way().count()).sum();
-        let mut due = Vec::new();
+        let mut due: Vec<Due> = Vec::new();
         for _ in under_way..at_once(all.len()) {
             models.sort_by_key(|(model, version, engines)| {
                 let has = |engine: &EngineState| {
@@ -244,12 +246,16 @@
                 };
                 Served::of(&engines.iter().map(has).collect::<Vec<_>>(), *version)
             });
+            // An engine carries one order out at a time, of whichever model.
+            let loading: Vec<_> = self.swaps.values().flat_map(Swaps::under_way).cloned().collect();
             let next = models.iter().find_map(|(model, version, engines)| {
+                let free = engines.iter().filter(|engine| !loading.contains(&engine.id));
+                let free: Vec<_> = free.cloned().collect();
                 let swaps = self.swaps.get_mut(*model)?;
                 if swaps.under_way().count() >= most_of_model(engines.len()) {
                     return None;
                 }
-                let id = swaps.next(engines, *version, 1, now).pop()?;
+                let id = swaps.next(&free, *version, 1).pop()?;
                 let engine = engines.iter().find(|engine| engine.id == id)?.clone();
                 swaps.loads(&engine, *version, now);
                 Some(Due { model: (*model).clone(), version: *version, engine })
