--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -2,9 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,11 +11,11 @@
 use smallvec::SmallVec;
 
 use crate::Listed;
+use crate::Target;
 use crate::TargetKind;
 use crate::subset::weight;
+use crate::target::SCORE_UNIT;
 
-/// After this time a load report counts half, after twice the time a quarter.
-const REPORT_HALF_LIFE_MS: u64 = 500;
 /// The weight of a new pace in the running average: one in this many.
 const PACE_OVER: u32 = 8;
 /// A target is slow whose pace is more than this many times the median of its
@@ -28,9 +25,6 @@
 const LEAST_COMPARED: usize = 3;
 /// Paces that are compared without allocating.
 const PACES_AT_HAND: usize = 64;
-/// A slow target gets one request after this long without any, to see whether
-/// it has recovered.
-const TRY_SLOW_AFTER_MS: u64 = 20_000;
 /// How long a target is avoided after a failure; twice as long after each more.
 const FIRST_AVOIDED: Duration = Duration::from_secs(1);
 const MOST_DOUBLINGS: u32 = 5;
@@ -38,10 +32,6 @@
 const OVERTAKEN_IN_A_ROW: u32 = 2;
 /// Failures of a target's own, one after the other, that put it in doubt.
 const ERRORS_IN_A_ROW: u32 = 3;
-/// A target is clearly faster whose pace is at most this part of another's.
-const FASTER_PERCENT: u64 = 82;
-/// A score counts requests a slot in units of one over this.
-const SCORE_UNIT: u64 = 1_024;
 /// How much worse than the better of two random targets one in the wanted data
 /// centre may be, in score units.
 const NEAR_ALLOWANCE: u64 = SCORE_UNIT / 2;
@@ -115,42 +105,6 @@
     }
 }
 
-/// One target as this process sees it; shared and updated without locks.
-#[derive(Debug)]
-pub struct Target {
-    /// What the list says of it.
-    pub listed: Listed,
-    open: AtomicBool,
-    in_flight: AtomicU32,
-    /// What others had at the target when it last reported.
-    others: AtomicU32,
-    /// Requests of callers at the target, of all processes, by its report.
-    callers: AtomicU32,
-    /// Of those, the ones of other processes, where this one serves callers.
-    other_callers: AtomicU32,
-    /// When the report was made, in milliseconds of the set's clock.
-    reported_ms: AtomicU64,
-    /// When it was last asked for its load, on the same clock.
-    asked_ms: AtomicU64,
-    /// Running average of the time for one token there, in microseconds; 0 for
-    /// not known.
-    pace_us: AtomicU32,
-    /// When that was last updated.
-    paced_ms: AtomicU64,
-    /// Whether it is much slower than its peers.
-    slow: AtomicBool,
-    /// Whether the last attempt to reach it failed; a load report clears it.
-    unreachable: AtomicBool,
-    /// Requests that failed there since the last one that succeeded.
-    failures: AtomicU32,
-    /// Requests that it ran and answered with its own failure, in a row.
-    errors: AtomicU32,
-    /// Requests in a row that another target answered first.
-    overtaken: AtomicU32,
-    /// Until when it is avoided after a failure.
-    avoided_until_ms: AtomicU64,
-}
-
 /// The targets of this process; replaced whole when the list changes.
 #[derive(Debug)]
 pub struct TargetSet {
@@ -167,139 +121,6 @@
     NoneOpen,
 }
 
-/// A request at a target; counted until it is dropped.
-#[derive(Debug)]
-pub struct Use(Arc<Target>);
-
-impl Target {
-    fn new(listed: Listed) -> Self {
-        Self {
-            open: AtomicBool::new(!listed.leaving),
-            listed,
-            in_flight: AtomicU32::new(0),
-            others: AtomicU32::new(0),
-            callers: AtomicU32::new(0),
-            other_callers: AtomicU32::new(0),
-            reported_ms: AtomicU64::new(0),
-            asked_ms: AtomicU64::new(0),
-            pace_us: AtomicU32::new(0),
-            paced_ms: AtomicU64::new(0),
-            slow: AtomicBool::new(false),
-            unreachable: AtomicBool::new(false),
-            failures: AtomicU32::new(0),
-            errors: AtomicU32::new(0),
-            overtaken: AtomicU32::new(0),
-            avoided_until_ms: AtomicU64::new(0),
-        }
-    }
-
-    /// Says whether it may get new work; looked at again before each write.
-    #[must_use]
-    pub fn is_open(&self) -> bool {
-        self.open.load(Ordering::Acquire)
-    }
-
-    /// Stops new work at once, also for requests that have chosen it already.
-    pub fn close(&self) {
-        self.open.store(false, Ordering::Release);
-    }
-
-    /// Counts this process's requests at it.
-    #[must_use]
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight.load(Ordering::Relaxed)
-    }
-
-    /// Counts all requests at it: this process's now, and the others' as of
-    /// its last report.
-    #[must_use]
-    pub fn load(&self) -> u32 {
-        self.in_flight() + self.others.load(Ordering::Relaxed)
-    }
-
-    /// Counts the callers' requests at it, as of its last report.
-    #[must_use]
-    pub fn callers(&self) -> u32 {
-        self.callers.load(Ordering::Relaxed)
-    }
-
-    /// Tells when it was last asked for its load, in the set's milliseconds.
-    #[must_use]
-    pub fn asked_ms(&self) -> u64 {
-        self.asked_ms.load(Ordering::Relaxed)
-    }
-
-    /// Tells the average time for an event there, in microseconds, if known.
-    #[must_use]
-    pub fn pace_us(&self) -> Option<u32> {
-        Some(self.pace_us.load(Ordering::Relaxed)).filter(|pace| *pace > 0)
-    }
-
-    /// Says whether it is clearly faster than another.
-    #[must_use]
-    pub fn is_faster_than(&self, other: &Self) -> bool {
-        let paces = self.pace_us().zip(other.pace_us());
-        paces.is_some_and(|(own, other)| u64::from(own) * 100 <= u64::from(other) * FASTER_PERCENT)
-    }
-
-    /// Says whether it is much slower than its peers.
-    #[must_use]
-    pub fn is_slow(&self) -> bool {
-        self.slow.load(Ordering::Relaxed)
-    }
-
-    /// Counts a request in, if the target is still open.
-    #[must_use]
-    pub fn begin(self: &Arc<Self>) -> Option<Use> {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        let counted = Use(Arc::clone(self));
-        self.is_open().then_some(counted)
-    }
-
-    /// What others have there that counts, as of the last report.
-    fn reported_others(&self, competes: Competes) -> u32 {
-        match competes {
-            Competes::All => self.others.load(Ordering::Relaxed),
-            Competes::Callers => self.other_callers.load(Ordering::Relaxed),
-        }
-    }
-
-    fn score(&self, competes: Competes, now_ms: u64) -> u64 {
-        let age = now_ms.saturating_sub(self.reported_ms.load(Ordering::Relaxed));
-        let halvings = u32::try_from(age / REPORT_HALF_LIFE_MS).unwrap_or(u32::MAX);
-        let others = u64::from(self.reported_others(competes)) * SCORE_UNIT;
-        let others = others.checked_shr(halvings).unwrap_or(0);
-        let own = u64::from(self.in_flight()) * SCORE_UNIT;
-        (own + others) / u64::from(self.listed.slots.max(1))
-    }
-
-    /// Whether it is slow and not due to be tried again with one request.
-    fn is_held_back(&self, now_ms: u64) -> bool {
-        let due = self.paced_ms.load(Ordering::Relaxed) + TRY_SLOW_AFTER_MS;
-        self.is_slow() && (now_ms < due || self.in_flight() > 0)
-    }
-
-    fn is_avoided(&self, now_ms: u64) -> bool {
-        self.unreachable.load(Ordering::Relaxed)
-            || self.is_held_back(now_ms)
-            || now_ms < self.avoided_until_ms.load(Ordering::Relaxed)
-    }
-}
-
-impl Use {
-    /// Gives the target.
-    #[must_use]
-    pub fn target(&self) -> &Arc<Target> {
-        &self.0
-    }
-}
-
-impl Drop for Use {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 impl TargetSet {
     /// Sets up an empty set; the moments of all later sets count from `now`.
     #[must_use]
--- a/crates/serve/src/submit.rs
+++ b/crates/serve/src/submit.rs
@@ -70,7 +70,7 @@
     let (id, items, step, fate) =
         (head.id.as_str(), job.items.len(), job.step, format!("{taken:?}"));
     app.metrics.time("job.accept", &route.name, begun.elapsed());
-    log::info!(event = "job_submitted", step = "submit", id, items, train_step = step, fate, took_ms; "submitted");
+    log::info!(event = "job_submitted", step = "submit", id, items, trainer_step = step, fate, took_ms; "submitted");
     match taken {
         Taken::InTheLog => json_answer(StatusCode::ACCEPTED, Bytes::from_static(b"{}")),
         Taken::NotThere => Refusal::StoreAway.answer("submit"),
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -15,6 +15,7 @@
 mod client;
 mod contracts;
 mod fleet;
+mod fleet_steps;
 mod process;
 mod trial;
 
@@ -30,6 +31,10 @@
 pub use crate::fleet::Fleet;
 pub use crate::fleet::config;
 pub use crate::fleet::job;
+pub use crate::fleet_steps::check_whole;
+pub use crate::fleet_steps::first_answer;
+pub use crate::fleet_steps::split_owner;
+pub use crate::fleet_steps::start_fleet;
 pub use crate::process::Process;
 pub use crate::trial::Trial;
 pub use crate::trial::eventually;
--- /dev/null
+++ b/crates/trials/tests/platform_jobs.rs
@@ -0,0 +1,180 @@
+//! Batch jobs on the platform's stand-ins, when processes, engines and the store
+//! fail.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use bytes::Bytes;
+use cassia_standin::Answers;
+use cassia_standin::StoreFaults;
+use cassia_standin::TargetFaults;
+use cassia_trials::Fleet;
+use cassia_trials::check_whole;
+use cassia_trials::eventually;
+use cassia_trials::first_answer;
+use cassia_trials::job;
+use cassia_trials::split_owner;
+use cassia_trials::start_fleet;
+use rstest::rstest;
+use serde_json::Value;
+use tokio::time::sleep;
+/// How long items of an ended job may still reach engines.
+const ENDED: Duration = Duration::from_secs(3);
+
+#[tokio::test]
+async fn a_new_owner_runs_nothing_of_jobs_that_are_ended() -> anyhow::Result<()> {
+    let mut fleet = Fleet::start().await?.with_targets(0, 1).await?;
+    let processes = start_fleet(&fleet, 2).await?;
+    let (owner, _others) = split_owner(&fleet, "old", processes);
+    // No engine is there yet, so the job waits until it is ended; more than
+    // one read of the partition lies between its beginning and its end.
+    assert_eq!(fleet.submit(&owner, "old", &job("old", 4, 1)).await.status, 202);
+    let partition = cassia_jobs::partition("old", 2);
+    for _ in 0..8 {
+        fleet.store.append("jobs", partition, Bytes::from(vec![0xff; 200 << 10]));
+    }
+    fleet.store.append("jobs", partition, cassia_jobs::JobRecord::end("old"));
+    let ended = Instant::now();
+    drop(owner);
+    let engine = fleet.add_engine("late", 6).await?;
+    let moved = || async {
+        fleet.store.owner("runners", partition).is_some_and(|_| ended.elapsed() > ENDED)
+    };
+    anyhow::ensure!(eventually(moved).await, "nobody took the partition over");
+    sleep(Duration::from_millis(500)).await;
+    assert!(engine.ran().is_empty(), "{:?}", engine.ran());
+    Ok(())
+}
+
+#[rstest]
+#[case::killed(true)]
+#[case::frozen(false)]
+#[tokio::test]
+async fn a_job_outlives_its_owner(#[case] killed: bool) -> anyhow::Result<()> {
+    let fleet = Fleet::start().await?.with_targets(2, 2).await?;
+    let processes = start_fleet(&fleet, 3).await?;
+    let (mut owner, others) = split_owner(&fleet, "j", processes);
+    assert_eq!(fleet.submit(&others[0], "j", &job("j", 40, 1)).await.status, 202);
+    let some = || async { fleet.targets.iter().any(|t| !t.running().is_empty()) };
+    anyhow::ensure!(eventually(some).await, "nothing ran");
+    if killed {
+        owner.kill();
+    } else {
+        owner.freeze();
+    }
+    let results = fleet.all_results(&others[1], "j").await.context("results")?;
+    check_whole(&results, "j", 40);
+    if !killed {
+        owner.thaw();
+        sleep(Duration::from_millis(800)).await;
+    }
+    let after = fleet.all_results(&others[0], "j").await.context("results")?;
+    assert_eq!(after, results, "a position never changes");
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_job_is_in_the_log_before_it_is_accepted() -> anyhow::Result<()> {
+    let fleet = Fleet::start().await?.with_targets(1, 1).await?;
+    let mut processes = start_fleet(&fleet, 2).await?;
+    assert_eq!(fleet.submit(&processes[0].1, "j", &job("j", 8, 1)).await.status, 202);
+    for (_, process) in &mut processes {
+        process.kill();
+    }
+    let fresh = fleet.serve("h9").await?;
+    let results = fleet.all_results(&fresh, "j").await.context("results")?;
+    check_whole(&results, "j", 8);
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_append_whose_answer_is_lost_is_neither_refused_nor_done_twice() -> anyhow::Result<()> {
+    let fleet = Fleet::start().await?.with_targets(1, 1).await?;
+    let processes = start_fleet(&fleet, 2).await?;
+    fleet.store.set_faults(StoreFaults { lose_answers: 1, ..StoreFaults::default() });
+    let first = fleet.submit(&processes[0].1, "j", &job("j", 8, 1)).await;
+    assert!(matches!(first.status, 202 | 502), "{first:?}");
+    assert_eq!(fleet.submit(&processes[1].1, "j", &job("j", 8, 1)).await.status, 202);
+    check_whole(&fleet.all_results(&processes[1].1, "j").await.context("results")?, "j", 8);
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_append_that_comes_late_is_never_refused_as_not_run() -> anyhow::Result<()> {
+    let fleet = Fleet::start().await?.with_targets(1, 1).await?;
+    let processes = start_fleet(&fleet, 1).await?;
+    // Late for whoever appends meanwhile, results of other jobs included.
+    let late = Some((8, Duration::from_secs(6)));
+    fleet.store.set_faults(StoreFaults { late, ..StoreFaults::default() });
+    let headers = [("attempt-id", "j"), ("deadline-ms", "3000")];
+    let body = job("j", 4, 1).to_string();
+    let answer = fleet.call("POST", processes[0].1.listen, "/job/x", &headers, body).await;
+    assert_eq!(answer.status, 502, "it may still come in: {answer:?}");
+    fleet.store.set_faults(StoreFaults::default());
+    assert!(fleet.all_results(&processes[0].1, "j").await.is_some(), "and here it does");
+    Ok(())
+}
+
+#[rstest]
+#[case::busy(StoreFaults { busy: true, ..StoreFaults::default() }, 503)]
+#[case::silent(StoreFaults { silent: true, ..StoreFaults::default() }, 503)]
+#[tokio::test]
+async fn without_the_store_callers_are_served_and_jobs_are_refused(
+    #[case] faults: StoreFaults,
+    #[case] expected: u16,
+) -> anyhow::Result<()> {
+    let fleet = Fleet::start().await?.with_targets(1, 2).await?;
+    let processes = start_fleet(&fleet, 1).await?;
+    let process = &processes[0].1;
+    first_answer(&fleet, process).await?;
+    fleet.store.set_faults(faults);
+    assert_eq!(fleet.request(process, "/quote/1", "r1").await.status, 200);
+    let refused = fleet.submit(process, "j", &job("j", 4, 1)).await;
+    assert_eq!(refused.status, expected, "{refused:?}");
+    assert!(refused.retry_after.is_some(), "says when to come back");
+    assert_eq!(fleet.results(process, "j", 0).await.status, 503, "it can't be sure");
+    fleet.store.set_faults(StoreFaults::default());
+    let gone = || async { fleet.results(process, "j", 0).await.status == 404 };
+    anyhow::ensure!(eventually(gone).await, "the store is back");
+    assert!(fleet.targets[0].ran().is_empty(), "a job that was refused never runs");
+    Ok(())
+}
+
+#[rstest]
+#[case::breaks_off(TargetFaults { cut_after: Some(2), ..TargetFaults::default() })]
+#[case::fails(TargetFaults { answers: Answers::Failing, ..TargetFaults::default() })]
+#[case::full(TargetFaults { answers: Answers::Full, ..TargetFaults::default() })]
+#[case::silent(TargetFaults { answers: Answers::Silent, ..TargetFaults::default() })]
+#[case::foreign(TargetFaults { answers: Answers::Foreign, ..TargetFaults::default() })]
+#[tokio::test]
+async fn items_end_whole_beside_an_engine_that(#[case] faults: TargetFaults) -> anyhow::Result<()> {
+    let fleet = Fleet::start().await?.with_targets(3, 2).await?;
+    let processes = start_fleet(&fleet, 1).await?;
+    fleet.targets[0].set_faults(faults);
+    assert_eq!(fleet.submit(&processes[0].1, "j", &job("j", 16, 1)).await.status, 202);
+    let results = fleet.all_results(&processes[0].1, "j").await.context("results")?;
+    check_whole(&results, "j", 16);
+    Ok(())
+}
+
+#[tokio::test]
+async fn an_item_that_always_fails_is_given_up_after_its_attempts() -> anyhow::Result<()> {
+    let fleet = Fleet::start().await?.with_targets(2, 2).await?;
+    let processes = start_fleet(&fleet, 1).await?;
+    let failing_ids = BTreeSet::from(["j-1".to_owned(), "j-2-score".to_owned()]);
+    for target in &fleet.targets {
+        let failing_ids = failing_ids.clone();
+        target.set_faults(TargetFaults { failing_ids, ..TargetFaults::default() });
+    }
+    assert_eq!(fleet.submit(&processes[0].1, "j", &job("j", 4, 1)).await.status, 202);
+    let results = fleet.all_results(&processes[0].1, "j").await.context("results")?;
+    let state = |id: &str| results.iter().find(|r| r["instance_id"] == id).map(|r| &r["state"]);
+    assert_eq!(state("j-1"), Some(&Value::from("errored")));
+    assert_eq!(state("j-2"), Some(&Value::from("errored")));
+    assert_eq!(state("j-3"), Some(&Value::from("completed")));
+    assert_eq!(fleet.runs_of("j-1"), 3, "as often as its route allows");
+    assert!((3..=5).contains(&fleet.runs_of("j-2-score")));
+    Ok(())
+}
