--- a/crates/lease/tests/seat.rs
+++ b/crates/lease/tests/seat.rs
@@ -177,6 +177,18 @@
     assert!(held > 160, "{held} of 200 steps");
 }
 
+/// A holder falls silent, the next one lets go at once: whoever comes third
+/// must still wait for the first one's time.
+#[test]
+fn a_holder_that_has_not_waited_passes_no_clear_lease_on() {
+    for lets_go_at in 31..90 {
+        let mut fates = vec![[Fate::Pauses, Fate::Pauses, Fate::Runs]; 30];
+        fates.extend([[Fate::Runs, Fate::Runs, Fate::Pauses]; 90]);
+        fates[lets_go_at][0] = Fate::LetsGo;
+        play(&fates, false);
+    }
+}
+
 #[test]
 fn a_host_that_comes_back_takes_over_from_itself_at_once() {
     let mut fates = vec![[Fate::Runs; 3]; 80];
