--- /dev/null
+++ b/crates/trials/src/bin/cassia-demo-platform.rs
@@ -0,0 +1,111 @@
+//! The main job on the stand-in of the users' platform, with a table at the
+//! end; fails if a promise broke.
+
+use std::process::ExitCode;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use anyhow::ensure;
+use cassia_trials::Fleet;
+use cassia_trials::Process;
+use cassia_trials::check_whole;
+use cassia_trials::eventually;
+use cassia_trials::first_answer;
+use cassia_trials::job;
+use cassia_trials::split_owner;
+use cassia_trials::start_fleet;
+use hdrhistogram::Histogram;
+
+const ENGINES: usize = 3;
+const SERVICES: usize = 2;
+const REQUESTS: usize = 200;
+const ITEMS: usize = 48;
+/// The longest time of a request that is told apart, in microseconds.
+const LONGEST_US: u64 = 60_000_000;
+/// Longer than a planned stop may take.
+const STOP_LIMIT: Duration = Duration::from_secs(9);
+
+/// One row of the table.
+struct Row(&'static str, String);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(rows) => {
+            println!("\non the platform's stand-in");
+            for Row(name, value) in rows {
+                println!("  {name:<44} {value}");
+            }
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("cassia-demo-platform: a promise broke: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> anyhow::Result<Vec<Row>> {
+    let fleet = Fleet::start().await?.with_targets(ENGINES, SERVICES).await?;
+    let processes = start_fleet(&fleet, 3).await?;
+    println!("three processes, {ENGINES} engines, {SERVICES} services");
+    let mut rows = Vec::new();
+    rows.push(requests(&fleet, &processes[0].1).await?);
+    rows.push(a_job(&fleet, &processes[1].1).await?);
+    rows.push(new_weights(&fleet).await?);
+    let (owner, others) = split_owner(&fleet, "stopped", processes);
+    rows.push(a_stop(&fleet, owner, &others).await?);
+    Ok(rows)
+}
+
+async fn requests(fleet: &Fleet, process: &Process) -> anyhow::Result<Row> {
+    first_answer(fleet, process).await?;
+    let mut times = Histogram::<u32>::new_with_max(LONGEST_US, 3)?;
+    for n in 0..REQUESTS {
+        let begun = Instant::now();
+        let answer = fleet.request(process, "/quote/1", &format!("r{n}")).await;
+        ensure!(answer.status == 200, "request r{n}: {answer:?}");
+        times.saturating_record(u64::try_from(begun.elapsed().as_micros())?);
+    }
+    println!("{REQUESTS} requests answered");
+    let (p50, p99) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
+    let (p50, p99) = (Duration::from_micros(p50), Duration::from_micros(p99));
+    Ok(Row("requests answered, p50, p99", format!("{REQUESTS}, {p50:.1?}, {p99:.1?}")))
+}
+
+async fn a_job(fleet: &Fleet, process: &Process) -> anyhow::Result<Row> {
+    let begun = Instant::now();
+    let taken = fleet.submit(process, "first", &job("first", ITEMS, 1)).await;
+    ensure!(taken.status == 202, "{taken:?}");
+    let accepted = begun.elapsed();
+    let results = fleet.all_results(process, "first").await.context("results")?;
+    check_whole(&results, "first", ITEMS);
+    println!("a batch job of {ITEMS} items done");
+    let took = begun.elapsed();
+    Ok(Row("batch job: accepted after, all listed after", format!("{accepted:.1?}, {took:.1?}")))
+}
+
+async fn new_weights(fleet: &Fleet) -> anyhow::Result<Row> {
+    let begun = Instant::now();
+    fleet.name_version(2);
+    let loaded = || async { fleet.targets[..ENGINES].iter().all(|e| e.version() == 2) };
+    ensure!(eventually(loaded).await, "the engines never loaded the version");
+    println!("new weights on all engines");
+    let orders = fleet.targets.iter().map(|target| target.orders().len()).sum::<usize>();
+    Ok(Row("new weights on all engines, orders", format!("{:.1?}, {orders}", begun.elapsed())))
+}
+
+async fn a_stop(fleet: &Fleet, mut owner: Process, others: &[Process]) -> anyhow::Result<Row> {
+    let taken = fleet.submit(&others[0], "stopped", &job("stopped", ITEMS, 2)).await;
+    ensure!(taken.status == 202, "{taken:?}");
+    owner.ask_to_stop();
+    let status = owner.ended(STOP_LIMIT).await.context("the owner ends in time")?;
+    ensure!(status.success(), "the owner ended with {status}");
+    let results = fleet.all_results(&others[0], "stopped").await.context("results")?;
+    check_whole(&results, "stopped", ITEMS);
+    println!("the owner stopped, its job went on");
+    let again = fleet.all_results(&others[1], "stopped").await.context("results")?;
+    ensure!(results == again, "positions differ between hosts");
+    Ok(Row("items whole over a planned stop, at both others", format!("{ITEMS} of {ITEMS}")))
+}
