--- a/crates/clients/src/store.rs
+++ b/crates/clients/src/store.rs
@@ -134,12 +134,29 @@
         deadline: Instant,
     ) -> Result<Records, StoreError>;
 
-    /// Reads the newest record of each key of a keyed topic.
+    /// Reads the newest record of each key of a partition of a keyed topic.
     ///
     /// # Errors
     ///
     /// The store can't be reached.
-    async fn snapshot(&self, topic: &str, deadline: Instant) -> Result<KeyedSnapshot, StoreError>;
+    async fn snapshot(
+        &self,
+        partition: PartitionRef<'_>,
+        deadline: Instant,
+    ) -> Result<KeyedSnapshot, StoreError>;
+
+    /// Appends the newest record of a key to a partition of a keyed topic.
+    ///
+    /// # Errors
+    ///
+    /// As `append`.
+    async fn put(
+        &self,
+        partition: PartitionRef<'_>,
+        key: &str,
+        value: &[u8],
+        deadline: Instant,
+    ) -> Result<Appended, StoreError>;
 
     /// Reads the records of a keyed topic from an offset on, and returns them
     /// with the offset from which to read on.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,14 +11,17 @@
 //! use cassia_jobs::{JobRecord, JobTable};
 //!
 //! let mut table = JobTable::default();
-//! table.apply(0, &JobRecord::new_end("7c41"));
+//! let record = JobRecord::encode_end("7c41");
+//! table.apply(0, record.len(), &JobRecord::decode(record));
 //! assert!(table.job("7c41").is_none());
 //! ```
 
 mod events;
 mod queue;
+mod read_plan;
 mod record;
 mod retry;
+mod snapshot;
 mod table;
 mod text;
 
@@ -29,6 +32,10 @@
 pub use crate::events::EventParser;
 pub use crate::queue::ItemQueue;
 pub use crate::queue::PendingItem;
+pub use crate::read_plan::MAX_PAGE_KB;
+pub use crate::read_plan::NextRead;
+pub use crate::read_plan::ReadOutcome;
+pub use crate::read_plan::ReadPlan;
 pub use crate::record::Header;
 pub use crate::record::Item;
 pub use crate::record::ItemResult;
@@ -38,9 +45,11 @@
 pub use crate::record::Submission;
 pub use crate::retry::RetryDecision;
 pub use crate::retry::RetryState;
+pub use crate::snapshot::SnapshotError;
 pub use crate::table::Applied;
 pub use crate::table::Job;
 pub use crate::table::JobTable;
+pub use crate::table::ResultRef;
 pub use crate::text::ItemText;
 pub use crate::text::TextError;
 
@@ -51,6 +60,11 @@
 
 /// The log topic that carries batch jobs.
 pub const JOBS_TOPIC: &str = "jobs";
+/// The keyed topic that carries the newest snapshot of each partition of
+/// `JOBS_TOPIC`, in the partition of the same number.
+pub const SNAPSHOT_TOPIC: &str = "keyed.job-snapshots";
+/// The only key in each partition of `SNAPSHOT_TOPIC`.
+pub const SNAPSHOT_KEY: &str = "newest";
 
 /// Returns the partition of a job.
 #[must_use]
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -7,6 +7,21 @@
 use crate::JobId;
 use crate::JobRecord;
 
+/// Most items that a job may have; a record that claims more is ignored.
+pub(crate) const MAX_ITEMS: u32 = 1 << 20;
+
+/// Where the result of an item is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ResultRef {
+    /// Offset of its record.
+    pub offset: Offset,
+    /// Index of the item in the job.
+    pub index: u32,
+    /// Number of bytes of the partition's records up to the end of this one.
+    /// Only differences between positions have a meaning.
+    pub end_position: u64,
+}
+
 /// State of one job after the records applied so far.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Job {
@@ -14,15 +29,16 @@
     pub first_offset: Offset,
     /// Number of records that hold the submission, from `first_offset` on.
     pub part_count: u32,
+    /// Upper bound on the total size of those records, in bytes.
+    pub part_bytes: u64,
     /// When the job was accepted, in Unix milliseconds.
     pub accepted_ms: u64,
-    /// Offset of the result at each position, with the item's index in the
-    /// job.
-    pub results: Vec<(Offset, u32)>,
+    /// The result at each position.
+    pub results: Vec<ResultRef>,
     /// Whether the job was ended.
     pub ended: bool,
     /// Whether the item at each index has a result.
-    has_result: Vec<bool>,
+    pub(crate) has_result: Vec<bool>,
 }
 
 impl Job {
@@ -70,8 +86,10 @@
 /// all processes. So the state must not depend on time or on the process.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct JobTable {
-    next_offset: Offset,
-    jobs: HashMap<JobId, Job>,
+    pub(crate) next_offset: Offset,
+    /// Total size of the records applied so far, in bytes.
+    pub(crate) position: u64,
+    pub(crate) jobs: HashMap<JobId, Job>,
 }
 
 impl JobTable {
@@ -81,6 +99,12 @@
         self.next_offset
     }
 
+    /// Returns the total size of the records applied so far, in bytes.
+    #[must_use]
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
     /// Skips records that the log no longer retains.
     pub fn skip_to(&mut self, offset: Offset) {
         self.next_offset = self.next_offset.max(offset);
@@ -103,16 +127,29 @@
         self.jobs.retain(|_, job| job.accepted_ms >= accepted_ms);
     }
 
-    /// Applies a record. Records must arrive in the order of their offsets;
-    /// one that was already applied is ignored.
-    pub fn apply(&mut self, offset: Offset, record: &JobRecord) -> Applied {
+    /// Applies a record of `size` bytes. Records must arrive in the order of
+    /// their offsets; one that was already applied is ignored.
+    pub fn apply(&mut self, offset: Offset, size: usize, record: &JobRecord) -> Applied {
         if offset < self.next_offset {
             return Applied::Unchanged;
         }
         self.next_offset = offset + 1;
+        self.position += size as u64;
         match record {
-            JobRecord::Part { job, part: 0, part_count, item_count, accepted_ms, .. } => {
-                self.accept(offset, job, *part_count, *item_count, *accepted_ms)
+            JobRecord::Part { job, part: 0, part_count, item_count, accepted_ms, .. }
+                if *item_count <= MAX_ITEMS =>
+            {
+                let job_state = Job {
+                    first_offset: offset,
+                    part_count: *part_count,
+                    // All parts but the last are as large as the first.
+                    part_bytes: u64::from(*part_count) * size as u64,
+                    accepted_ms: *accepted_ms,
+                    results: Vec::new(),
+                    ended: false,
+                    has_result: vec![false; *item_count as usize],
+                };
+                self.accept(job, job_state)
             }
             JobRecord::Result(result) => self.add_result(offset, &result.job, result.index),
             JobRecord::End { job } => self.end(job),
@@ -123,25 +160,10 @@
     /// Accepts a job on its first part: the parts of a job are appended
     /// atomically, so the others are in the log too. A job that is submitted
     /// again changes nothing.
-    fn accept(
-        &mut self,
-        first_offset: Offset,
-        id: &str,
-        part_count: u32,
-        item_count: u32,
-        accepted_ms: u64,
-    ) -> Applied {
+    fn accept(&mut self, id: &str, job: Job) -> Applied {
         if self.jobs.contains_key(id) {
             return Applied::Unchanged;
         }
-        let job = Job {
-            first_offset,
-            part_count,
-            accepted_ms,
-            results: Vec::new(),
-            ended: false,
-            has_result: vec![false; item_count as usize],
-        };
         self.jobs.insert(id.into(), job);
         Applied::Accepted(id.into())
     }
@@ -149,6 +171,7 @@
     /// Adds an item's first result. Later results of the item, and results
     /// after the end of the job, are ignored.
     fn add_result(&mut self, offset: Offset, id: &str, index: u32) -> Applied {
+        let end_position = self.position;
         let Some(job) = self.jobs.get_mut(id).filter(|job| !job.ended) else {
             return Applied::Unchanged;
         };
@@ -156,7 +179,7 @@
             return Applied::Unchanged;
         };
         *has_result = true;
-        job.results.push((offset, index));
+        job.results.push(ResultRef { offset, index, end_position });
         Applied::ResultAdded { job: id.into(), index }
     }
 
--- a/crates/jobs/tests/table.rs
+++ b/crates/jobs/tests/table.rs
@@ -7,12 +7,14 @@
 use cassia_jobs::ItemResult;
 use cassia_jobs::JobRecord;
 use cassia_jobs::JobTable;
+use cassia_jobs::ResultRef;
 use cassia_jobs::Submission;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
 const ITEM_COUNT: u32 = 2;
+const RECORD_BYTES: usize = 100;
 
 fn first_part(job: &str) -> JobRecord {
     part(job, 0)
@@ -54,7 +56,7 @@
 /// agree with it.
 #[derive(Default)]
 struct Reader {
-    results: Vec<(u64, u32)>,
+    results: Vec<ResultRef>,
     accepted: bool,
     ended: bool,
 }
@@ -69,7 +71,7 @@
         assert!(job.results.starts_with(&self.results), "a result changed its position");
         assert!(job.ended || !self.ended, "an ended job reopened");
         assert!(!self.ended || job.results == self.results, "a result was added after the end");
-        let mut items: Vec<_> = job.results.iter().map(|(_, item)| *item).collect();
+        let mut items: Vec<_> = job.results.iter().map(|result| result.index).collect();
         items.sort_unstable();
         items.dedup();
         assert_eq!(items.len(), job.results.len(), "an item has two results");
@@ -82,7 +84,7 @@
 fn apply_all(history: &[JobRecord]) -> JobTable {
     let (mut table, mut reader) = (JobTable::default(), Reader::default());
     for (offset, record) in (0..).zip(history) {
-        table.apply(offset, record);
+        table.apply(offset, RECORD_BYTES, record);
         reader.check(&table);
     }
     table
@@ -128,12 +130,12 @@
             let from = from.min(next).min(history.len());
             let until = until.clamp(from, history.len());
             for (offset, record) in (from as u64..).zip(&history[from..until]) {
-                table.apply(offset, record);
+                table.apply(offset, RECORD_BYTES, record);
             }
         }
         let next = usize::try_from(table.next_offset()).expect("fits usize");
         for (offset, record) in (next as u64..).zip(&history[next..]) {
-            table.apply(offset, record);
+            table.apply(offset, RECORD_BYTES, record);
         }
         prop_assert_eq!(table, expected);
     }
@@ -164,7 +166,7 @@
     #[test]
     fn undecodable_records_are_skipped(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let mut table = JobTable::default();
-        table.apply(0, &JobRecord::decode(bytes.into()));
+        table.apply(0, bytes.len(), &JobRecord::decode(bytes.into()));
         prop_assert_eq!(table.next_offset(), 1);
     }
 }
@@ -189,7 +191,7 @@
     let mut table = JobTable::default();
     let mut last = Applied::Unchanged;
     for (offset, record) in (0..).zip(&history) {
-        last = table.apply(offset, record);
+        last = table.apply(offset, RECORD_BYTES, record);
     }
     assert_eq!(last, expected);
 }
@@ -205,7 +207,7 @@
 #[test]
 fn removing_old_jobs_keeps_the_log_offset() {
     let mut table = JobTable::default();
-    table.apply(0, &first_part("a"));
+    table.apply(0, RECORD_BYTES, &first_part("a"));
     table.remove_accepted_before(8);
     assert!(table.job("a").is_none());
     assert_eq!(table.next_offset(), 1);
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -36,7 +36,7 @@
         let page = MetricsPage::default();
         Self {
             state: SharedState::new(settings),
-            job_log: JobLog::new(Arc::clone(&store), settings.store_parts),
+            job_log: JobLog::new(&store, settings.store_parts),
             body_budget: BodyBudget::default(),
             store,
             client: HttpClient::default(),
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -9,6 +9,7 @@
 use cassia_adapter::OperatorRecord;
 use cassia_adapter::decode_operator_record;
 use cassia_clients::KeyedRecord;
+use cassia_clients::PartitionRef;
 use cassia_clients::StoreError;
 use cassia_clients::StoreErrorKind;
 use cassia_ids::ModelName;
@@ -64,7 +65,13 @@
 async fn read(app: &App, next: Option<Offset>, timeout: Duration) -> Result<Offset, StoreError> {
     let (next, records) = match next {
         None => {
-            let newest = app.store.snapshot(OPERATOR_TOPIC, Instant::now() + timeout).await?;
+            let newest = app
+                .store
+                .snapshot(
+                    PartitionRef { topic: OPERATOR_TOPIC, partition: 0 },
+                    Instant::now() + timeout,
+                )
+                .await?;
             (newest.next, newest.records)
         }
         Some(from) => {
--- a/crates/serve/src/job_calls.rs
+++ b/crates/serve/src/job_calls.rs
@@ -7,20 +7,27 @@
 use cassia_adapter::JobCall;
 use cassia_adapter::encode_results;
 use cassia_clients::StoreError;
-use cassia_ids::Offset;
 use cassia_jobs::JobRecord;
+use cassia_jobs::ResultRef;
 use http::Response;
 use http::StatusCode;
 use tokio::time::sleep;
 
 use crate::app::App;
+use crate::job_log::SubmissionRef;
 use crate::response::Body;
 use crate::response::Refusal;
 use crate::response::full_body;
 use crate::response::json_response;
 
-/// How long one call of the store may take.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long a caller waits for a response, beyond the time that it lets a read
+/// wait for a result.
+const CALLER_PATIENCE: Duration = Duration::from_millis(1_300);
+/// The part of it in which the partition must have been read to its end; the
+/// rest is for reading contents.
+const READ_PATIENCE: Duration = Duration::from_secs(1);
+/// How long one append may take.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum time that a read waits for a result.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 /// How long ending a job is retried before the call is refused.
@@ -30,9 +37,8 @@
 /// The results of a job from a position on, as far as its partition was read.
 enum AvailableResults {
     NoSuchJob,
-    /// There are results, at these offsets.
     Found {
-        offsets: Vec<Offset>,
+        refs: Vec<ResultRef>,
         item_count: usize,
     },
     /// There are none yet.
@@ -65,13 +71,13 @@
 ) -> Result<Response<Body>, StoreError> {
     let partition = app.job_log.partition_of(job);
     let wait_until = Instant::now() + wait;
-    app.job_log.read_to_end(partition, Instant::now() + CALL_TIMEOUT).await?;
+    let (read_until, deadline) = (wait_until + READ_PATIENCE, wait_until + CALLER_PATIENCE);
+    app.job_log.read_to_end(partition, read_until).await?;
     loop {
         match available_results(app, partition, job, after) {
             AvailableResults::NoSuchJob => return Ok(Refusal::NoSuchJob.response("read results")),
-            AvailableResults::Found { offsets, item_count } => {
-                let deadline = Instant::now() + CALL_TIMEOUT;
-                let results = app.job_log.results(partition, &offsets, deadline).await?;
+            AvailableResults::Found { refs, item_count } => {
+                let results = app.job_log.results(partition, &refs, deadline).await?;
                 return Ok(json_response(
                     StatusCode::OK,
                     encode_results(item_count, after, &results),
@@ -85,8 +91,7 @@
                         encode_results(item_count, after, &[]),
                     ));
                 }
-                let deadline = Instant::now() + left + CALL_TIMEOUT;
-                app.job_log.read_next(partition, left, deadline).await?;
+                app.job_log.partition(partition).read_next(left, read_until).await?;
             }
         }
     }
@@ -98,25 +103,26 @@
         return AvailableResults::NoSuchJob;
     };
     let item_count = job.item_count();
-    let offsets: Vec<_> = job.results.iter().skip(after).map(|(offset, _)| *offset).collect();
-    if offsets.is_empty() {
+    let refs = job.results.get(after..).unwrap_or_default().to_vec();
+    if refs.is_empty() {
         return AvailableResults::Empty { is_open: job.is_open(), item_count };
     }
-    AvailableResults::Found { offsets, item_count }
+    AvailableResults::Found { refs, item_count }
 }
 
 async fn read_body(app: &App, job: &str, item: &str) -> Result<Response<Body>, StoreError> {
     let partition = app.job_log.partition_of(job);
-    let deadline = Instant::now() + CALL_TIMEOUT;
-    app.job_log.read_to_end(partition, deadline).await?;
-    let parts = {
+    let now = Instant::now();
+    let (read_until, deadline) = (now + READ_PATIENCE, now + CALLER_PATIENCE);
+    app.job_log.read_to_end(partition, read_until).await?;
+    let submission = {
         let table = app.job_log.table(partition);
-        table.job(job).filter(|job| !job.ended).map(|job| (job.first_offset, job.part_count))
+        table.job(job).filter(|job| !job.ended).map(SubmissionRef::from)
     };
-    let Some((first_offset, part_count)) = parts else {
+    let Some(submission) = submission else {
         return Ok(Refusal::NoSuchJob.response("read a body"));
     };
-    let submission = app.job_log.submission(partition, first_offset, part_count, deadline).await?;
+    let submission = app.job_log.submission(partition, submission, deadline).await?;
     let found = submission.items.into_iter().find(|i| i.id == item);
     Ok(found.map_or_else(
         || Refusal::NoSuchJob.response("read a body"),
@@ -128,7 +134,7 @@
     let partition = app.job_log.partition_of(job);
     let until = Instant::now() + END_RETRY_LIMIT;
     loop {
-        match try_end_job(app, partition, job).await {
+        match try_end_job(app, partition, job, until).await {
             Ok(response) => return Ok(response),
             Err(e) if Instant::now() + RETRY_DELAY >= until => return Err(e),
             Err(_) => sleep(RETRY_DELAY).await,
@@ -136,15 +142,20 @@
     }
 }
 
-async fn try_end_job(app: &App, partition: u32, job: &str) -> Result<Response<Body>, StoreError> {
-    app.job_log.read_to_end(partition, Instant::now() + CALL_TIMEOUT).await?;
+async fn try_end_job(
+    app: &App,
+    partition: u32,
+    job: &str,
+    deadline: Instant,
+) -> Result<Response<Body>, StoreError> {
+    app.job_log.read_to_end(partition, deadline).await?;
     let ended = app.job_log.table(partition).job(job).map(|job| job.ended);
     match ended {
         None => return Ok(Refusal::NoSuchJob.response("end")),
         Some(true) => {}
         Some(false) => {
             let record = [JobRecord::encode_end(job)];
-            app.job_log.append(partition, &record, Instant::now() + CALL_TIMEOUT).await?;
+            app.job_log.append(partition, &record, Instant::now() + APPEND_TIMEOUT).await?;
             log::info!(event = "job_ended", step = "end", id = job; "job ended");
         }
     }
--- a/crates/serve/src/job_log.rs
+++ b/crates/serve/src/job_log.rs
@@ -5,94 +5,80 @@
 //! that needs no jobs reads nothing.
 
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
-use cassia_clients::Appended;
-use cassia_clients::PartitionRef;
-use cassia_clients::Records;
 use cassia_clients::Store;
 use cassia_clients::StoreError;
 use cassia_clients::StoreErrorKind;
 use cassia_ids::Offset;
 use cassia_jobs::ItemResult;
-use cassia_jobs::JOBS_TOPIC;
+use cassia_jobs::Job;
 use cassia_jobs::JobRecord;
 use cassia_jobs::JobTable;
+use cassia_jobs::ResultRef;
 use cassia_jobs::Submission;
 use cassia_jobs::partition;
 
-use crate::clock::unix_ms;
-use crate::state::lock;
+use crate::partition_log::PartitionLog;
 
-/// Maximum size of one read, in kilobytes; it bounds the memory that a read
-/// needs.
-const READ_MAX_KB: u32 = 256;
-/// How long a job is kept in memory after it was accepted, in milliseconds.
-const JOB_RETENTION_MS: u64 = 240_000;
+/// The store's overhead of a record in a read, in bytes.
+const RECORD_OVERHEAD_BYTES: u64 = 4;
+/// Assumed size of the first of several results, in bytes. If it is larger, a
+/// read may return one result less.
+const FIRST_RESULT_BYTES: u64 = 4 << 10;
 
 /// The jobs of all partitions, as far as they were read.
 #[derive(Debug)]
 pub(crate) struct JobLog {
-    store: Arc<dyn Store>,
-    tables: Vec<Mutex<JobTable>>,
+    partitions: Vec<Arc<PartitionLog>>,
+}
+
+/// Where the records of a job's submission are.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SubmissionRef {
+    first_offset: Offset,
+    part_count: u32,
+    part_bytes: u64,
+}
+
+impl From<&Job> for SubmissionRef {
+    fn from(job: &Job) -> Self {
+        let Job { first_offset, part_count, part_bytes, .. } = *job;
+        Self { first_offset, part_count, part_bytes }
+    }
 }
 
 impl JobLog {
-    pub(crate) fn new(store: Arc<dyn Store>, partition_count: u32) -> Self {
-        Self { store, tables: (0..partition_count).map(|_| Mutex::default()).collect() }
+    pub(crate) fn new(store: &Arc<dyn Store>, partition_count: u32) -> Self {
+        let log = |partition| Arc::new(PartitionLog::new(Arc::clone(store), partition));
+        Self { partitions: (0..partition_count).map(log).collect() }
     }
 
     /// Returns the partition of a job.
     pub(crate) fn partition_of(&self, job: &str) -> u32 {
-        partition(job, u32::try_from(self.tables.len()).unwrap_or(1))
+        partition(job, u32::try_from(self.partitions.len()).unwrap_or(1))
+    }
+
+    /// Returns a partition's log.
+    pub(crate) fn partition(&self, partition: u32) -> &Arc<PartitionLog> {
+        &self.partitions[partition as usize]
     }
 
     /// Returns the jobs of a partition, as far as it was read.
     pub(crate) fn table(&self, partition: u32) -> MutexGuard<'_, JobTable> {
-        lock(&self.tables[partition as usize])
+        self.partition(partition).table()
     }
 
-    /// Reads a partition up to its current end.
+    /// Waits until a partition was read up to its end at the time of this call
+    /// or later.
     pub(crate) async fn read_to_end(
         &self,
         partition: u32,
         deadline: Instant,
     ) -> Result<(), StoreError> {
-        while !self.read_next(partition, Duration::ZERO, deadline).await? {}
-        Ok(())
-    }
-
-    /// Reads the next records of a partition, and waits up to `wait` for the
-    /// first one. Returns whether the partition was read up to its end.
-    pub(crate) async fn read_next(
-        &self,
-        partition: u32,
-        wait: Duration,
-        deadline: Instant,
-    ) -> Result<bool, StoreError> {
-        let from = self.table(partition).next_offset();
-        let partition_ref = PartitionRef { topic: JOBS_TOPIC, partition };
-        match self.store.read(partition_ref, from, READ_MAX_KB, wait, deadline).await {
-            Ok(records) => Ok(self.apply(partition, records)),
-            Err(StoreError { kind: StoreErrorKind::Expired { oldest }, .. }) => {
-                self.table(partition).skip_to(oldest);
-                Ok(false)
-            }
-            Err(e) => Err(e),
-        }
-    }
-
-    fn apply(&self, partition: u32, records: Records) -> bool {
-        let mut table = self.table(partition);
-        for (offset, record) in (records.start..).zip(records.records) {
-            table.apply(offset, &JobRecord::decode(record));
-        }
-        table.remove_accepted_before(unix_ms().saturating_sub(JOB_RETENTION_MS));
-        table.next_offset() >= records.end
+        self.partition(partition).read_to_end(deadline).await
     }
 
     /// Appends records to a partition.
@@ -101,25 +87,23 @@
         partition: u32,
         records: &[Bytes],
         deadline: Instant,
-    ) -> Result<Appended, StoreError> {
-        self.store.append(PartitionRef { topic: JOBS_TOPIC, partition }, records, deadline).await
+    ) -> Result<Offset, StoreError> {
+        self.partition(partition).append(records, deadline).await
     }
 
-    /// Reads a job's submission from the `part_count` records that hold it.
+    /// Reads a job's submission.
     pub(crate) async fn submission(
         &self,
         partition: u32,
-        first_offset: Offset,
-        part_count: u32,
+        job: SubmissionRef,
         deadline: Instant,
     ) -> Result<Submission, StoreError> {
+        let part_count = job.part_count as usize;
+        let max_bytes = job.part_bytes + RECORD_OVERHEAD_BYTES * u64::from(job.part_count);
         let mut data = Vec::new();
-        while data.len() < part_count as usize {
-            let partition_ref = PartitionRef { topic: JOBS_TOPIC, partition };
-            let from = first_offset + data.len() as Offset;
-            let max_kb = READ_MAX_KB;
-            let read =
-                self.store.read(partition_ref, from, max_kb, Duration::ZERO, deadline).await?;
+        while data.len() < part_count {
+            let from = job.first_offset + data.len() as Offset;
+            let read = self.partition(partition).records(from, max_bytes, deadline).await?;
             let part = |record| match JobRecord::decode(record) {
                 JobRecord::Part { data, .. } => Some(data),
                 _ => None,
@@ -130,42 +114,50 @@
                 return Err(unreadable("the job's records are missing"));
             }
         }
-        data.truncate(part_count as usize);
+        data.truncate(part_count);
         Submission::from_parts(&data).map_err(|e| unreadable(&e.to_string()))
     }
 
-    /// Reads the results at the given offsets: at least the first one, and
-    /// those that the same read returns.
+    /// Reads the given results: at least the first one, and those that the
+    /// same read returns.
     pub(crate) async fn results(
         &self,
         partition: u32,
-        offsets: &[Offset],
+        results: &[ResultRef],
         deadline: Instant,
     ) -> Result<Vec<ItemResult>, StoreError> {
-        let Some(&from) = offsets.first() else {
+        let (Some(first), Some(last)) = (results.first(), results.last()) else {
             return Ok(Vec::new());
         };
-        let partition_ref = PartitionRef { topic: JOBS_TOPIC, partition };
-        let read =
-            self.store.read(partition_ref, from, READ_MAX_KB, Duration::ZERO, deadline).await?;
-        let mut wanted = offsets.iter().peekable();
-        let mut results = Vec::new();
+        let read = self.partition(partition);
+        let read = read.records(first.offset, span_bytes(first, last), deadline).await?;
+        let mut wanted = results.iter().map(|result| result.offset).peekable();
+        let mut found = Vec::new();
         for (offset, record) in (read.start..).zip(read.records) {
-            if wanted.peek() != Some(&&offset) {
+            if wanted.peek() != Some(&offset) {
                 continue;
             }
             wanted.next();
             if let JobRecord::Result(result) = JobRecord::decode(record) {
-                results.push(result);
+                found.push(result);
             }
         }
-        if results.is_empty() {
+        if found.is_empty() {
             return Err(unreadable("the result's record is missing"));
         }
-        Ok(results)
+        Ok(found)
     }
 }
 
+/// Returns how many bytes a read from one result to another returns. The size
+/// of the first result is not known; the store returns at least one record.
+fn span_bytes(first: &ResultRef, last: &ResultRef) -> u64 {
+    let records = last.offset - first.offset + 1;
+    last.end_position.saturating_sub(first.end_position)
+        + FIRST_RESULT_BYTES
+        + RECORD_OVERHEAD_BYTES * records
+}
+
 fn unreadable(detail: &str) -> StoreError {
     StoreError { step: "read", kind: StoreErrorKind::Unknown, detail: detail.to_owned() }
 }
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -15,6 +15,7 @@
 mod ops;
 mod order;
 mod ownership;
+mod partition_log;
 mod response;
 mod runner;
 mod slot;
--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -25,6 +25,8 @@
 /// How long a response of the store may take beyond the long poll.
 const READ_TIMEOUT: Duration = Duration::from_millis(600);
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// After how long reading a partition to its end is begun again.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long reading a job's submission may take.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long results are collected for one append.
@@ -52,9 +54,12 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let appender = tokio::spawn(append_results(Arc::clone(&app), partition, rx));
     let mut jobs: HashMap<JobId, RunningJob> = HashMap::new();
+    let mut snapshots = SnapshotWriter::new(Arc::clone(&app), partition);
+    // From here on every record is read as it is appended.
+    read_from_snapshot(&app, partition).await;
     while is_owned(&app, partition) || jobs.values().any(RunningJob::is_running) {
         let deadline = Instant::now() + LONG_POLL + READ_TIMEOUT;
-        let read = app.job_log.read_next(partition, LONG_POLL, deadline);
+        let read = app.job_log.partition(partition).read_next(LONG_POLL, deadline);
         let read = tokio::select! {
             read = read => read,
             // Without jobs there is no reason to wait for the read.
@@ -74,6 +79,7 @@
         // been ended may still seem open.
         if at_end && is_owned(&app, partition) {
             start_jobs(&app, partition, &mut jobs, &tx).await;
+            snapshots.write_if_due();
         }
     }
     drop(tx);
@@ -82,6 +88,50 @@
     }
 }
 
+/// Reads the partition to its end, from the newest snapshot on, unless this
+/// process loses the partition.
+async fn read_from_snapshot(app: &App, partition: u32) {
+    while is_owned(app, partition) {
+        let deadline = Instant::now() + FIRST_READ_TIMEOUT;
+        let read = tokio::select! {
+            read = app.job_log.read_to_end(partition, deadline) => read,
+            () = wait_until_lost(app, partition) => return,
+        };
+        let Err(e) = read else { return };
+        log::debug!(event = "store_away", step = e.step, partition; "{e}");
+        sleep(RETRY_DELAY).await;
+    }
+}
+
+/// Writes the snapshots of a partition, one at a time.
+#[derive(Debug)]
+struct SnapshotWriter {
+    app: Arc<App>,
+    partition: u32,
+    running: Option<JoinHandle<()>>,
+}
+
+impl SnapshotWriter {
+    fn new(app: Arc<App>, partition: u32) -> Self {
+        Self { app, partition, running: None }
+    }
+
+    fn write_if_due(&mut self) {
+        if self.running.as_ref().is_some_and(|task| !task.is_finished()) {
+            return;
+        }
+        let partition = Arc::clone(self.app.job_log.partition(self.partition));
+        let max_bytes = self.app.settings.record_bytes;
+        self.running = partition.has_due_snapshot().then(|| {
+            tokio::spawn(async move {
+                if let Err(e) = partition.write_snapshot(max_bytes).await {
+                    log::info!(event = "snapshot_failed", step = e.step; "{e}");
+                }
+            })
+        });
+    }
+}
+
 fn is_owned(app: &App, partition: u32) -> bool {
     app.state.owned.borrow().contains(&partition)
 }
@@ -135,7 +185,7 @@
     };
     for (id, job) in open {
         let deadline = Instant::now() + LOAD_TIMEOUT;
-        match app.job_log.submission(partition, job.first_offset, job.part_count, deadline).await {
+        match app.job_log.submission(partition, (&job).into(), deadline).await {
             Ok(submission) => {
                 log_job_started(app, &submission, &job);
                 let run = JobRun::new(Arc::clone(app), partition, submission, &job, tx.clone());
@@ -186,8 +236,8 @@
     loop {
         let deadline = Instant::now() + APPEND_TIMEOUT;
         match app.job_log.append(partition, records, deadline).await {
-            Ok(appended) => {
-                let (offset, count) = (appended.offset, records.len());
+            Ok(offset) => {
+                let count = records.len();
                 log::info!(event = "results_listed", step = "list", partition, offset, count; "results appended");
                 return;
             }
--- a/crates/serve/src/submit.rs
+++ b/crates/serve/src/submit.rs
@@ -104,8 +104,8 @@
         if read.is_ok() {
             let deadline = (Instant::now() + CALL_TIMEOUT).min(until);
             match app.job_log.append(partition, records, deadline).await {
-                Ok(appended) => {
-                    log::info!(event = "job_accepted", step = "submit", id = job, partition, offset = appended.offset; "job appended to the log");
+                Ok(offset) => {
+                    log::info!(event = "job_accepted", step = "submit", id = job, partition, offset; "job appended to the log");
                     return AppendOutcome::Appended;
                 }
                 Err(e) if e.kind == StoreErrorKind::NotDone => {}
--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -7,6 +7,7 @@
 use cassia_adapter::TARGET_TOPIC;
 use cassia_adapter::decode_heartbeat;
 use cassia_clients::KeyedRecord;
+use cassia_clients::PartitionRef;
 use cassia_clients::StoreError;
 use cassia_clients::StoreErrorKind;
 use cassia_ids::Offset;
@@ -68,7 +69,10 @@
         let records = match self.next {
             None => {
                 let deadline = Instant::now() + self.backoff.timeout();
-                let newest = app.store.snapshot(TARGET_TOPIC, deadline).await?;
+                let newest = app
+                    .store
+                    .snapshot(PartitionRef { topic: TARGET_TOPIC, partition: 0 }, deadline)
+                    .await?;
                 self.record_success();
                 self.next = Some(newest.next);
                 let ids: Vec<TargetId> = newest.records.iter().map(|r| r.key.clone()).collect();
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -129,12 +129,17 @@
 
     /// Writes raw bytes as the value of a key.
     pub fn put_bytes(&self, topic: &str, key: &str, value: &[u8]) {
+        self.put_bytes_in(topic, 0, key, value);
+    }
+
+    /// Writes raw bytes as the value of a key in a partition.
+    pub fn put_bytes_in(&self, topic: &str, partition: u32, key: &str, value: &[u8]) {
         let mut record = BytesMut::new();
         record.put_u8(u8::try_from(key.len()).unwrap_or(u8::MAX));
         record.put_slice(key.as_bytes());
         record.put_slice(value);
         let records = vec![record.freeze()];
-        lock(&self.shared.state).append(topic, 0, &records);
+        lock(&self.shared.state).append(topic, partition, &records);
         self.shared.appended.notify_waiters();
     }
 
--- /dev/null
+++ b/crates/trials/tests/platform_recovery.rs
@@ -0,0 +1,125 @@
+//! All processes end at once while the log is long and the links to the store
+//! are slow.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use bytes::Bytes;
+use cassia_standin::Proxy;
+use cassia_trials::PlatformEnv;
+use cassia_trials::Process;
+use cassia_trials::assert_complete;
+use cassia_trials::batch_job;
+use cassia_trials::eventually;
+use rstest::rstest;
+use tokio::time::sleep;
+
+/// Time within which the platform wants requests to be served again.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
+/// Delay of each piece of at most 16 KiB that a slow link forwards, in
+/// milliseconds: at most 320 KB/s.
+const SLOW_LINK_DELAY_MS: u64 = 50;
+const FILLER_BYTES: usize = 100 << 10;
+const ITEMS: usize = 8;
+const HOSTS: [&str; 3] = ["h1", "h2", "h3"];
+
+async fn start_all(env: &PlatformEnv, link: &Proxy) -> anyhow::Result<Vec<Process>> {
+    let mut processes = Vec::new();
+    for host in HOSTS {
+        processes.push(env.start_process_with_store(host, link.addr()).await?);
+    }
+    Ok(processes)
+}
+
+/// Appends records that no job needs to all partitions, and waits until the
+/// owners have written snapshots after them.
+async fn lengthen_log(env: &PlatformEnv, records: usize) -> anyhow::Result<()> {
+    for partition in 0..2 {
+        for _ in 0..records {
+            env.store.append("jobs", partition, Bytes::from(vec![0xff; FILLER_BYTES]));
+        }
+    }
+    let before = snapshot_counts(env);
+    for partition in 0..2 {
+        env.store.append("jobs", partition, Bytes::from(vec![0xff; FILLER_BYTES]));
+    }
+    let written = || async {
+        snapshot_counts(env).into_iter().zip(&before).all(|(now, before)| now > *before)
+    };
+    anyhow::ensure!(eventually(written).await, "no snapshots");
+    Ok(())
+}
+
+fn snapshot_counts(env: &PlatformEnv) -> [usize; 2] {
+    [0, 1].map(|partition| env.store.records(cassia_jobs::SNAPSHOT_TOPIC, partition).len())
+}
+
+/// Each host is asked about each job. A host that replays the log needs longer
+/// for it than any caller waits.
+#[rstest]
+#[case::log_of_2_mb(10)]
+#[case::log_of_20_mb(100)]
+#[tokio::test]
+async fn jobs_can_be_read_soon_after_all_processes_restart(
+    #[case] records: usize,
+) -> anyhow::Result<()> {
+    let env = PlatformEnv::start().await?.with_targets(2, 2).await?;
+    let link = Proxy::start(env.store.addr()).await?;
+    let mut processes = start_all(&env, &link).await?;
+    let mut jobs = Vec::new();
+    for id in ["j1", "j2", "j3", "j4"] {
+        assert_eq!(env.submit_job(&processes[0], id, &batch_job(id, ITEMS, 1)).await.status, 202);
+        jobs.push((id, env.all_results(&processes[0], id).await.context("results")?));
+    }
+    lengthen_log(&env, records).await?;
+    for process in &mut processes {
+        process.kill();
+    }
+    link.set_delay_ms(SLOW_LINK_DELAY_MS);
+    let processes = start_all(&env, &link).await?;
+    let (started, bytes_before) = (Instant::now(), link.bytes_forwarded());
+    for process in &processes {
+        for (id, results) in &jobs {
+            let again = env.all_results(process, id).await;
+            assert_eq!(again.as_ref(), Some(results), "{id} after {:?}", started.elapsed());
+        }
+    }
+    assert!(started.elapsed() < RECOVERY_LIMIT, "{:?}", started.elapsed());
+    let bytes = link.bytes_forwarded() - bytes_before;
+    assert!(bytes < 20 * FILLER_BYTES as u64, "{bytes} bytes read");
+    Ok(())
+}
+
+/// A log that an earlier release wrote has no snapshots, and a later release
+/// may write ones that this one can't decode.
+#[rstest]
+#[case::no_snapshot(None)]
+#[case::not_a_snapshot(Some(&b"\xff\xff\xff"[..]))]
+#[case::of_a_later_record_that_is_not_there(Some(&b"\x08\x00"[..]))]
+#[tokio::test]
+async fn without_a_usable_snapshot_the_log_is_read(
+    #[case] snapshot: Option<&[u8]>,
+) -> anyhow::Result<()> {
+    let env = PlatformEnv::start().await?.with_targets(2, 2).await?;
+    let mut first = env.start_process("h1").await?;
+    assert_eq!(env.submit_job(&first, "j", &batch_job("j", ITEMS, 1)).await.status, 202);
+    let results = env.all_results(&first, "j").await.context("results")?;
+    assert_complete(&results, "j", ITEMS);
+    first.kill();
+    for partition in 0..2 {
+        for _ in 0..5 {
+            env.store.append("jobs", partition, Bytes::from(vec![0xff; FILLER_BYTES]));
+        }
+        if let Some(snapshot) = snapshot {
+            let key = cassia_jobs::SNAPSHOT_KEY;
+            env.store.put_bytes_in(cassia_jobs::SNAPSHOT_TOPIC, partition, key, snapshot);
+        }
+    }
+    let second = env.start_process("h2").await?;
+    assert_eq!(env.all_results(&second, "j").await.as_ref(), Some(&results));
+    assert_eq!(env.end_job(&second, "j").await.status, 200);
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(env.all_results(&second, "j").await.as_ref(), Some(&results));
+    Ok(())
+}
