Soak: restart all processes behind a long log and slow links in one seed of four

Change: the seeds that are a multiple of four have it, without another draw, so the faults of every seed stay the same.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
+use cassia_jobs::JOBS_TOPIC;
 use cassia_standin::Proxy;
 use cassia_standin::ResponseFault;
 use cassia_standin::StoreFaults;
@@ -17,6 +19,7 @@
 use cassia_standin::TargetSpec;
 use cassia_standin::TargetStandin;
 use cassia_trials::ENGINE_MODEL;
+use cassia_trials::PARTITIONS;
 use cassia_trials::PlatformEnv;
 use cassia_trials::Process;
 use cassia_trials::platform_config;
@@ -40,6 +43,12 @@
 /// Interval of heartbeats and of readiness probes.
 const POLL_INTERVAL: Duration = Duration::from_millis(150);
 const EVENTS_PER_GENERATION: u64 = 6;
+/// Number and size of the records that make the job log long.
+const LONG_LOG_RECORDS: usize = 60;
+const LONG_LOG_RECORD_BYTES: usize = 100 << 10;
+/// Delay of each piece of at most 16 KiB on a slow link, in milliseconds.
+const SLOW_LINK_DELAY_MS: u64 = 50;
+const SLOW_LINK_DURATION: Duration = Duration::from_secs(5);
 
 /// The address of one incarnation of a process.
 #[derive(Clone, Debug)]
@@ -246,10 +255,27 @@
                 self.inject_target_fault(&self.targets[index], fault, planned.duration).await;
             }
             Fault::Store(fault) => self.inject_store_fault(fault, planned.duration).await,
+            Fault::LongLogRestart => self.restart_with_long_log(planned.duration).await?,
         }
         Ok(())
     }
 
+    async fn restart_with_long_log(&self, duration: Duration) -> anyhow::Result<()> {
+        for partition in 0..PARTITIONS {
+            for _ in 0..LONG_LOG_RECORDS {
+                let record = Bytes::from(vec![0xff; LONG_LOG_RECORD_BYTES]);
+                self.env.store.append(JOBS_TOPIC, partition, record);
+            }
+        }
+        let set_delays = |ms| self.hosts.iter().for_each(|host| host.store_proxy.set_delay_ms(ms));
+        set_delays(SLOW_LINK_DELAY_MS);
+        let kills = self.hosts.iter().map(|h| self.inject_host_fault(h, HostFault::Kill, duration));
+        join_all(kills).await.into_iter().collect::<anyhow::Result<()>>()?;
+        sleep(SLOW_LINK_DURATION).await;
+        set_delays(0);
+        Ok(())
+    }
+
     async fn inject_host_fault(
         &self,
         host: &Host,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,6 +12,8 @@
 const MIN_DURATION: Duration = Duration::from_millis(300);
 const MAX_DURATION: Duration = Duration::from_millis(4_500);
 const MAX_STORE_DELAY_MS: u64 = 250;
+/// Every how many seeds there is a restart behind a long log.
+const LONG_LOG_SEEDS: u64 = 4;
 
 /// A fault of a process, or of its connections to the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -86,6 +88,9 @@
     Target(usize, TargetFault),
     /// Of the store.
     Store(StoreFault),
+    /// The job log becomes long, all links to the store become slow, and all
+    /// processes are killed at once.
+    LongLogRestart,
 }
 
 /// A fault and its time.
@@ -100,6 +105,9 @@
 }
 
 /// Draws the faults of a run of this length, with this many hosts and targets.
+///
+/// One seed in `LONG_LOG_SEEDS` also restarts all processes behind a long log,
+/// without another draw: the faults of a seed stay the same.
 #[must_use]
 pub fn plan_faults(seed: u64, length: Duration, hosts: usize, targets: usize) -> Vec<PlannedFault> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -113,6 +121,10 @@
             start += MEAN_INTERVAL.mul_f64(rng.random_range(0.2..2.3));
         }
     }
+    if seed.is_multiple_of(LONG_LOG_SEEDS) {
+        let (start, duration) = (length / 2, MIN_DURATION);
+        planned.push(PlannedFault { start, duration, fault: Fault::LongLogRestart });
+    }
     planned
 }
 
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -35,6 +35,7 @@
 pub use crate::platform_client::PlatformClient;
 pub use crate::platform_client::PlatformResponse;
 pub use crate::platform_env::ENGINE_MODEL;
+pub use crate::platform_env::PARTITIONS;
 pub use crate::platform_env::PlatformEnv;
 pub use crate::platform_env::ROUTE_HOST;
 pub use crate::platform_env::batch_job;
--- a/crates/trials/src/platform_env.rs
+++ b/crates/trials/src/platform_env.rs
@@ -28,7 +28,7 @@
 /// The model of the engines.
 pub const ENGINE_MODEL: &str = "m";
 /// Number of partitions of a topic.
-pub(crate) const PARTITIONS: u32 = 2;
+pub const PARTITIONS: u32 = 2;
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
 
 /// The store and the targets of the platform.
--- a/crates/trials/tests/platform_recovery.rs
+++ b/crates/trials/tests/platform_recovery.rs
@@ -7,6 +7,7 @@
 use anyhow::Context;
 use bytes::Bytes;
 use cassia_standin::Proxy;
+use cassia_trials::PARTITIONS;
 use cassia_trials::PlatformEnv;
 use cassia_trials::Process;
 use cassia_trials::assert_complete;
@@ -35,13 +36,13 @@
 /// Appends records that no job needs to all partitions, and waits until the
 /// owners have written snapshots after them.
 async fn lengthen_log(env: &PlatformEnv, records: usize) -> anyhow::Result<()> {
-    for partition in 0..2 {
+    for partition in 0..PARTITIONS {
         for _ in 0..records {
             env.store.append("jobs", partition, Bytes::from(vec![0xff; FILLER_BYTES]));
         }
     }
     let before = snapshot_counts(env);
-    for partition in 0..2 {
+    for partition in 0..PARTITIONS {
         env.store.append("jobs", partition, Bytes::from(vec![0xff; FILLER_BYTES]));
     }
     let written = || async {
@@ -51,8 +52,9 @@
     Ok(())
 }
 
-fn snapshot_counts(env: &PlatformEnv) -> [usize; 2] {
-    [0, 1].map(|partition| env.store.records(cassia_jobs::SNAPSHOT_TOPIC, partition).len())
+fn snapshot_counts(env: &PlatformEnv) -> Vec<usize> {
+    let count = |partition| env.store.records(cassia_jobs::SNAPSHOT_TOPIC, partition).len();
+    (0..PARTITIONS).map(count).collect()
 }
 
 /// Each host is asked about each job. A host that replays the log needs longer
@@ -107,7 +109,7 @@
     let results = env.all_results(&first, "j").await.context("results")?;
     assert_complete(&results, "j", ITEMS);
     first.kill();
-    for partition in 0..2 {
+    for partition in 0..PARTITIONS {
         for _ in 0..5 {
             env.store.append("jobs", partition, Bytes::from(vec![0xff; FILLER_BYTES]));
         }
