Responses without end: limits on heads, bodies, events, texts and all of them together

Cause: a response could take 16 MiB with no bound over all of a process, an event 1 MiB, an item's text anything; a body's pieces were kept one by one whatever their size; informational responses were parsed until the deadline; and a run's time limit counted from any byte, so that an engine that sent a byte now and then held its item for ever. A caller's stream passed on bytes that are no events.

Change: one budget for the bodies that are being read (--response-buffer-kb), an eighth of it a body; 32 KB a head and 64 KB until it is known; 256 KB an event; a text fits its record; small pieces are copied together; a run's time limit counts from the last whole event; a caller's stream of anything but events is broken off. The budget of callers' bodies is the same type. A connection on which a limit is passed is closed and its target avoided, as before.

Ruled out on the way: the stand-in's own processor time (it built its chunks anew for each write).

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -10,6 +10,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -25,8 +26,12 @@
 use smol_str::format_smolstr;
 use tokio::time::timeout_at;
 
+use crate::ByteBudget;
 use crate::ErrorKind;
 use crate::PlatformError;
+use crate::Reservation;
+use crate::limited_stream::HeadLimit;
+use crate::limited_stream::LimitedConnector;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -35,30 +40,74 @@
 const KEEPALIVE_RETRIES: u32 = 3;
 /// Time after which unacknowledged data ends a connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
-/// Size of the largest response body that is read.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Limit on the bodies of all responses that are being read, unless one is
+/// set.
+const DEFAULT_RESPONSE_BUDGET_BYTES: usize = 16 << 20;
+/// One body may take this part of the limit on all of them.
+const MAX_RESPONSE_DIVISOR: usize = 8;
+/// Chunks of a body below this size are copied together.
+const SMALL_CHUNK_BYTES: usize = 4 << 10;
+/// Size of the buffer for small chunks.
+const TAIL_BYTES: usize = 16 << 10;
+/// Size of the largest head of a response, and of the buffer of a connection.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+/// How many bytes a connection reads until a head is known: informational
+/// responses and the head. The start of the body may come with the head.
+const MAX_BYTES_TO_HEAD: usize = 2 * MAX_HEAD_BYTES;
 /// Header by which a target states that it did not run the request.
 const NOT_RUN_HEADER: &str = "cassia-not-run";
 
-type Pool = Client<HttpConnector, Full<Bytes>>;
+type Pool = Client<LimitedConnector, Full<Bytes>>;
 
 /// Sends requests over pooled connections.
 ///
 /// Each pool belongs to one peer. When a request on one of its connections
 /// times out, the whole pool is dropped: the usual cause (a middlebox that
 /// lost the connection's state) mostly affects the other connections too.
-#[derive(Default)]
+///
+/// A peer may send a head or a body without end. So the size of a head, of a
+/// body and of all bodies together is limited, and a connection on which a
+/// response exceeds a limit is closed.
 pub struct HttpClient {
     pools: ArcSwap<HashMap<SocketAddr, Arc<Pool>>>,
+    budget: Arc<ByteBudget>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new(Arc::new(ByteBudget::new(DEFAULT_RESPONSE_BUDGET_BYTES)))
+    }
 }
 
 impl fmt::Debug for HttpClient {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("HttpClient").field("pools", &self.pools.load().len()).finish()
+        f.debug_struct("HttpClient")
+            .field("pools", &self.pools.load().len())
+            .field("budget", &self.budget)
+            .finish()
     }
 }
 
 impl HttpClient {
+    /// Creates a client that buffers the bodies of responses within a budget,
+    /// which several clients may share.
+    #[must_use]
+    pub fn new(budget: Arc<ByteBudget>) -> Self {
+        Self { pools: ArcSwap::default(), budget }
+    }
+
+    /// Returns the size of the largest body that is read, in bytes.
+    fn max_response_bytes(&self) -> usize {
+        self.budget.limit() / MAX_RESPONSE_DIVISOR
+    }
+
+    /// Starts a reservation for a body that the caller of this function reads
+    /// itself.
+    #[must_use]
+    pub fn reserve(&self) -> Reservation {
+        self.budget.reserve()
+    }
+
     /// Sends a request and returns the response once its head has arrived.
     ///
     /// # Errors
@@ -77,7 +126,7 @@
             return Ok(response);
         }
         let not_run = has_not_run_header(&response);
-        let body = read_limited(response.into_body(), deadline).await.unwrap_or_default();
+        let body = self.read_limited(response.into_body(), deadline).await.unwrap_or_default();
         let detail = String::from_utf8_lossy(&body[..body.len().min(256)]).into_owned();
         let kind = if not_run { ErrorKind::NotRun } else { ErrorKind::Status };
         let peer = format_smolstr!("{peer}");
@@ -103,7 +152,12 @@
             PlatformError { step, peer, kind, detail }
         };
         match timeout_at(deadline.into(), pool.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                if let Some(limit) = response.extensions().get::<HeadLimit>() {
+                    limit.head_received();
+                }
+                Ok(response)
+            }
             Ok(Err(e)) if e.is_connect() => Err(error(ErrorKind::Connect, e.to_string())),
             Ok(Err(e)) => Err(error(ErrorKind::Incomplete, e.to_string())),
             Err(_) => {
@@ -167,7 +221,7 @@
         deadline: Instant,
     ) -> Result<Response<Bytes>, PlatformError> {
         let (head, body) = response.into_parts();
-        match read_limited(body, deadline).await {
+        match self.read_limited(body, deadline).await {
             Ok(bytes) => Ok(Response::from_parts(head, bytes)),
             Err(kind) => {
                 if kind == ErrorKind::Timeout {
@@ -220,11 +274,29 @@
         }
     }
 
+    async fn read_limited(&self, body: Incoming, deadline: Instant) -> Result<Bytes, ErrorKind> {
+        let mut reservation = self.reserve();
+        let mut body = Limited::new(body, self.max_response_bytes());
+        let mut buf = BodyBuffer::default();
+        loop {
+            match timeout_at(deadline.into(), body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    reservation.add(data.len()).map_err(|_| ErrorKind::Incomplete)?;
+                    buf.push(data);
+                }
+                Ok(Some(Err(_))) => return Err(ErrorKind::Incomplete),
+                Ok(None) => return Ok(buf.finish()),
+                Err(_) => return Err(ErrorKind::Timeout),
+            }
+        }
+    }
+
     fn pool(&self, peer: SocketAddr) -> Arc<Pool> {
         if let Some(pool) = self.pools.load().get(&peer) {
             return Arc::clone(pool);
         }
-        let new = Arc::new(new_pool());
+        let new = Arc::new(new_pool(self.max_response_bytes()));
         self.pools.rcu(|pools| {
             let mut pools = HashMap::clone(pools);
             pools.entry(peer).or_insert_with(|| Arc::clone(&new));
@@ -234,7 +306,7 @@
     }
 }
 
-fn new_pool() -> Pool {
+fn new_pool(max_response_bytes: usize) -> Pool {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
@@ -247,7 +319,8 @@
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
-        .build(connector)
+        .http1_max_buf_size(MAX_HEAD_BYTES)
+        .build(LimitedConnector::new(connector, MAX_BYTES_TO_HEAD, max_response_bytes))
 }
 
 /// Builds a POST of a JSON body, or a GET without one.
@@ -273,11 +346,44 @@
     response.headers().contains_key(NOT_RUN_HEADER)
 }
 
-async fn read_limited(body: Incoming, deadline: Instant) -> Result<Bytes, ErrorKind> {
-    let limited = Limited::new(body, MAX_RESPONSE_BYTES);
-    match timeout_at(deadline.into(), limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => Err(ErrorKind::Incomplete),
-        Err(_) => Err(ErrorKind::Timeout),
+/// The chunks of a body that were received. Small chunks are copied together,
+/// so that they need little more memory than their bytes.
+#[derive(Debug, Default)]
+pub struct BodyBuffer {
+    chunks: Vec<Bytes>,
+    /// Small chunks after those in `chunks`.
+    tail: BytesMut,
+}
+
+impl BodyBuffer {
+    /// Appends a chunk.
+    pub fn push(&mut self, chunk: Bytes) {
+        let is_first = self.chunks.is_empty() && self.tail.is_empty();
+        if is_first || chunk.len() >= SMALL_CHUNK_BYTES {
+            self.close_tail();
+            self.chunks.push(chunk);
+            return;
+        }
+        if self.tail.len() + chunk.len() > self.tail.capacity() {
+            self.close_tail();
+            self.tail.reserve(TAIL_BYTES);
+        }
+        self.tail.extend_from_slice(&chunk);
+    }
+
+    /// Returns the body; a single chunk is not copied.
+    #[must_use]
+    pub fn finish(mut self) -> Bytes {
+        self.close_tail();
+        if self.chunks.len() <= 1 {
+            return self.chunks.pop().unwrap_or_default();
+        }
+        self.chunks.concat().into()
+    }
+
+    fn close_tail(&mut self) {
+        if !self.tail.is_empty() {
+            self.chunks.push(self.tail.split().freeze());
+        }
     }
 }
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -11,16 +11,21 @@
 //! assert!(format!("{platform:?}").contains("HttpPlatform"));
 //! ```
 
+mod budget;
 mod engine;
 mod engine_http;
 mod error;
 mod http_client;
+mod limited_stream;
 mod log;
 mod log_http;
 mod platform_http;
 mod services;
 mod store;
 
+pub use crate::budget::BudgetExceeded;
+pub use crate::budget::ByteBudget;
+pub use crate::budget::Reservation;
 pub use crate::engine::Engine;
 pub use crate::engine::GenerateRequest;
 pub use crate::engine::GenerationEvent;
@@ -30,6 +35,7 @@
 pub use crate::engine::OrderKind;
 pub use crate::error::ErrorKind;
 pub use crate::error::PlatformError;
+pub use crate::http_client::BodyBuffer;
 pub use crate::http_client::HttpClient;
 pub use crate::log::Log;
 pub use crate::log::LogPage;
--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -5,7 +5,10 @@
 use cassia_ids::Version;
 
 /// Limit on the size of one event.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// Length of the longest separator of two events.
+const MAX_SEPARATOR_BYTES: usize = 3;
 
 /// One event of a stream.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -36,6 +39,8 @@
 #[derive(Debug, Default)]
 pub struct EventParser {
     buf: BytesMut,
+    /// Length of the start of `buf` that holds no end of an event.
+    scanned: usize,
     /// Name of the field that carries the weight version, in lower case.
     version_field: String,
 }
@@ -45,7 +50,7 @@
     /// `version_field`.
     #[must_use]
     pub fn new(version_field: &str) -> Self {
-        Self { buf: BytesMut::new(), version_field: version_field.to_ascii_lowercase() }
+        Self { buf: BytesMut::new(), scanned: 0, version_field: version_field.to_ascii_lowercase() }
     }
 
     /// Appends received bytes; `next_event` returns the events completed by
@@ -61,12 +66,15 @@
     /// An event is too large or not valid UTF-8.
     pub fn next_event(&mut self) -> Result<Option<Event>, EventError> {
         loop {
-            let Some((len, separator_len)) = find_event_end(&self.buf) else {
+            let Some((len, separator_len)) = find_event_end(&self.buf, self.scanned) else {
+                // The separator may have arrived in part.
+                self.scanned = self.buf.len().saturating_sub(MAX_SEPARATOR_BYTES - 1);
                 let too_large = self.buf.len() > MAX_EVENT_BYTES;
                 return if too_large { Err(EventError::TooLarge) } else { Ok(None) };
             };
             let block = self.buf.split_to(len);
             self.buf.advance(separator_len);
+            self.scanned = 0;
             if block.is_empty() {
                 continue;
             }
@@ -112,10 +120,9 @@
     }
 }
 
-/// Finds the first empty line. Returns the length of the event before it and
-/// the length of the separator.
-fn find_event_end(buf: &[u8]) -> Option<(usize, usize)> {
-    let mut from = 0;
+/// Finds the first empty line that ends after `from`. Returns the length of the
+/// event before it and the length of the separator.
+fn find_event_end(buf: &[u8], mut from: usize) -> Option<(usize, usize)> {
     while let Some(at) = buf[from..].iter().position(|&byte| byte == b'\n') {
         let at = from + at;
         match buf.get(at + 1..) {
--- a/crates/jobs/src/text.rs
+++ b/crates/jobs/src/text.rs
@@ -40,6 +40,12 @@
         /// The version of the text so far.
         expected: Version,
     },
+    /// The text is longer than a result may be.
+    #[error("text exceeds {max_bytes} bytes")]
+    TooLong {
+        /// The limit, in bytes.
+        max_bytes: usize,
+    },
 }
 
 /// The text of an item so far, with the weight versions that generated it.
@@ -56,14 +62,16 @@
     run_version: Option<Version>,
     min_version: Version,
     single_version: bool,
+    max_bytes: usize,
 }
 
 impl ItemText {
-    /// Creates an empty text. Versions from `min_version` on may generate it;
-    /// with `single_version`, all of it must come from the same one.
+    /// Creates an empty text of at most `max_bytes`. Versions from
+    /// `min_version` on may generate it; with `single_version`, all of it must
+    /// come from the same one.
     #[must_use]
-    pub fn new(min_version: Version, single_version: bool) -> Self {
-        Self { min_version, single_version, ..Self::default() }
+    pub fn new(min_version: Version, single_version: bool, max_bytes: usize) -> Self {
+        Self { min_version, single_version, max_bytes, ..Self::default() }
     }
 
     /// Starts the first run, or one that resumes after another broke off.
@@ -85,8 +93,8 @@
     ///
     /// # Errors
     ///
-    /// The event is not the next one, or its version is unknown or not
-    /// allowed.
+    /// The event is not the next one, its version is unknown or not allowed,
+    /// or the text becomes too long.
     pub fn push(&mut self, event: &Event) -> Result<(), TextError> {
         let expected = self.last_event_id.map(|last| last + 1);
         let Some(id) = event.id else {
@@ -99,6 +107,9 @@
         if self.last_event_id.is_none() && id > 1 {
             return Err(TextError::OutOfOrder { got: id, expected: 0 });
         }
+        if self.text.len() + 1 + event.data.len() > self.max_bytes {
+            return Err(TextError::TooLong { max_bytes: self.max_bytes });
+        }
         let version = event.version.or(self.run_version).ok_or(TextError::UnknownVersion(id))?;
         self.check_version(version)?;
         self.run_version = Some(version);
--- a/crates/jobs/tests/text.rs
+++ b/crates/jobs/tests/text.rs
@@ -11,6 +11,7 @@
 use rstest::rstest;
 
 const FIELD: &str = "weights";
+const MAX_BYTES: usize = 1 << 20;
 
 fn event(id: u64, version: Option<u64>) -> Event {
     Event { id: Some(id), data: format!("d{id}"), version }
@@ -64,7 +65,7 @@
         runs in prop::collection::vec((1_u64..6, 1_u64..4), 1..6),
         single in any::<bool>(),
     ) {
-        let mut text = ItemText::new(1, single);
+        let mut text = ItemText::new(1, single, MAX_BYTES);
         let (mut next, mut versions) = (0, Vec::new());
         for (length, version) in runs {
             if text.start_run(Some(version)).is_err() {
@@ -91,7 +92,7 @@
 #[case::not_the_first(&[3], TextError::OutOfOrder { got: 3, expected: 0 })]
 #[case::back(&[0, 1, 2, 1], TextError::OutOfOrder { got: 1, expected: 3 })]
 fn an_event_out_of_order_is_refused(#[case] ids: &[u64], #[case] expected: TextError) {
-    let mut text = ItemText::new(0, false);
+    let mut text = ItemText::new(0, false, MAX_BYTES);
     text.start_run(Some(1)).expect("allowed");
     let pushed: Vec<_> = ids.iter().map(|id| text.push(&event(*id, None))).collect();
     assert_eq!(pushed.last(), Some(&Err(expected)));
@@ -110,7 +111,7 @@
     #[case] single: bool,
     #[case] expected: Result<(), TextError>,
 ) {
-    let mut text = ItemText::new(min_version, single);
+    let mut text = ItemText::new(min_version, single, MAX_BYTES);
     let outcome = text.start_run(run_version).and_then(|()| {
         if run_version.is_some() {
             text.push(&event(0, None))?;
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
+use cassia_clients::ByteBudget;
 use cassia_clients::HttpClient;
 use cassia_clients::Store;
 use cassia_node::Metrics;
 use cassia_node::MetricsPage;
 
-use crate::body::BodyBudget;
+use crate::body;
 use crate::clock::BootClock;
 use crate::clock::Clock;
 use crate::flags::ServeSettings;
@@ -24,7 +25,7 @@
     pub(crate) clock: Box<dyn Clock>,
     pub(crate) job_log: JobLog,
     /// Memory used by request bodies that are not complete yet.
-    pub(crate) body_budget: BodyBudget,
+    pub(crate) body_budget: Arc<ByteBudget>,
     pub(crate) metrics: Metrics,
     /// The metrics as served to operators.
     pub(crate) page: MetricsPage,
@@ -32,14 +33,18 @@
 }
 
 impl App {
-    pub(crate) fn new(settings: &ServeSettings, store: Arc<dyn Store>) -> Self {
+    pub(crate) fn new(
+        settings: &ServeSettings,
+        store: Arc<dyn Store>,
+        response_budget: Arc<ByteBudget>,
+    ) -> Self {
         let page = MetricsPage::default();
         Self {
             state: SharedState::new(settings),
             job_log: JobLog::new(&store, settings.store_parts),
-            body_budget: BodyBudget::default(),
+            body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
             store,
-            client: HttpClient::default(),
+            client: HttpClient::new(response_budget),
             clock: Box::new(BootClock::new()),
             metrics: Metrics::to_page(&page),
             page,
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -7,12 +7,12 @@
 //! time that a connection may stay idle, and the bytes of incomplete bodies
 //! are counted over all clients.
 
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
+use cassia_clients::BodyBuffer;
+use cassia_clients::ByteBudget;
 use cassia_route::CallerLimits;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -24,31 +24,7 @@
 
 /// Maximum size of all incomplete bodies together: what a small host can
 /// spare.
-const MAX_BUFFERED_BYTES: usize = 32 << 20;
-
-/// Number of bytes of incomplete bodies in this process.
-#[derive(Debug, Default)]
-pub(crate) struct BodyBudget(AtomicUsize);
-
-/// The bytes of one body, released when this is dropped.
-struct Reservation<'a> {
-    budget: &'a BodyBudget,
-    bytes: usize,
-}
-
-impl Reservation<'_> {
-    /// Adds bytes; returns whether the budget allows them.
-    fn add(&mut self, bytes: usize) -> bool {
-        self.bytes += bytes;
-        self.budget.0.fetch_add(bytes, Ordering::Relaxed) + bytes <= MAX_BUFFERED_BYTES
-    }
-}
-
-impl Drop for Reservation<'_> {
-    fn drop(&mut self) {
-        self.budget.0.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
+pub(crate) const MAX_BUFFERED_BYTES: usize = 32 << 20;
 
 /// Reads a body to its end.
 ///
@@ -59,43 +35,28 @@
 pub(crate) async fn read(
     mut body: Incoming,
     limits: &CallerLimits,
-    budget: &BodyBudget,
+    budget: &Arc<ByteBudget>,
 ) -> Result<Bytes, Refusal> {
     let max_bytes = u64::try_from(limits.max_body_bytes).unwrap_or(u64::MAX);
     if body.size_hint().lower() > max_bytes {
         return Err(Refusal::TooLarge);
     }
-    let mut reservation = Reservation { budget, bytes: 0 };
+    let mut reservation = budget.reserve();
     let body_deadline = Instant::now() + Duration::from_millis(limits.idle_timeout_ms);
-    let mut chunks: Vec<Bytes> = Vec::new();
+    let mut buf = BodyBuffer::default();
     loop {
         let chunk_deadline = Instant::now() + Duration::from_millis(limits.header_timeout_ms);
         let next = timeout_at(chunk_deadline.min(body_deadline), body.frame()).await;
         let Some(frame) = next.map_err(|_| Refusal::BodyTimeout)? else {
-            return Ok(concat(chunks));
+            return Ok(buf.finish());
         };
         let Ok(data) = frame.map_err(|_| Refusal::BadRequest)?.into_data() else {
             continue;
         };
-        if reservation.bytes + data.len() > limits.max_body_bytes {
+        if reservation.bytes() + data.len() > limits.max_body_bytes {
             return Err(Refusal::TooLarge);
         }
-        if !reservation.add(data.len()) {
-            return Err(Refusal::NoMemory);
-        }
-        chunks.push(data);
-    }
-}
-
-/// Concatenates the chunks; a single one, the most frequent case, is not
-/// copied.
-fn concat(mut chunks: Vec<Bytes>) -> Bytes {
-    if chunks.len() <= 1 {
-        return chunks.pop().unwrap_or_default();
-    }
-    let mut buf = BytesMut::with_capacity(chunks.iter().map(Bytes::len).sum());
-    for chunk in &chunks {
-        buf.extend_from_slice(chunk);
+        reservation.add(data.len()).map_err(|_| Refusal::NoMemory)?;
+        buf.push(data);
     }
-    buf.freeze()
 }
--- a/crates/serve/src/flags.rs
+++ b/crates/serve/src/flags.rs
@@ -9,6 +9,9 @@
 use cassia_node::Faults;
 use cassia_node::SettingsError;
 
+/// Upper bound on the encoded size of a result's fields other than its text.
+const RESULT_OVERHEAD_BYTES: usize = 4 << 10;
+
 /// Settings of this program:
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(generate(serve_flags))]
@@ -43,6 +46,9 @@
     /// Minimum time between orders of two lease holders to one engine, in milliseconds
     #[bpaf(long, env("CASSIA_LEASE_MS"), argument("MS"), fallback("3000".to_owned()), display_fallback)]
     lease_ms: String,
+    /// Maximum size of all responses of targets and the store that are being read, in kilobytes
+    #[bpaf(long, env("CASSIA_RESPONSE_BUFFER_KB"), argument("KB"), fallback("16384".to_owned()), display_fallback)]
+    response_buffer_kb: String,
     /// How long a planned stop may take, in milliseconds
     #[bpaf(long, env("CASSIA_STOP_LIMIT_MS"), argument("MS"), fallback("7000".to_owned()), display_fallback)]
     stop_limit_ms: String,
@@ -64,6 +70,7 @@
     pub(crate) record_bytes: usize,
     pub(crate) append_bytes: usize,
     pub(crate) lease_ms: u64,
+    pub(crate) response_buffer_bytes: usize,
     pub(crate) stop_limit_ms: u64,
     pub(crate) check_only: bool,
 }
@@ -95,6 +102,8 @@
         let record_bytes = faults.number("--record-bytes", &self.record_bytes, 1_024, 1 << 30);
         let append_bytes = faults.number("--append-bytes", &self.append_bytes, 1_024, 1 << 30);
         let lease_ms = faults.number("--lease-ms", &self.lease_ms, 0, 600_000);
+        let response_buffer_kb =
+            faults.number("--response-buffer-kb", &self.response_buffer_kb, 1_024, 1 << 24);
         let stop_limit_ms = faults.number("--stop-limit-ms", &self.stop_limit_ms, 0, 600_000);
         Some(ServeSettings {
             host: host?,
@@ -107,6 +116,7 @@
             record_bytes: usize::try_from(record_bytes?).ok()?,
             append_bytes: usize::try_from(append_bytes?).ok()?,
             lease_ms: lease_ms?,
+            response_buffer_bytes: usize::try_from(response_buffer_kb? << 10).ok()?,
             stop_limit_ms: stop_limit_ms?,
             check_only: self.check,
         })
@@ -114,6 +124,12 @@
 }
 
 impl ServeSettings {
+    /// Returns the maximum size of an item's text, in bytes. Its result must fit
+    /// one record of the store.
+    pub(crate) fn max_text_bytes(&self) -> usize {
+        self.record_bytes.saturating_sub(RESULT_OVERHEAD_BYTES)
+    }
+
     /// Returns how long a planned stop may take.
     pub(crate) fn stop_limit(&self) -> Duration {
         Duration::from_millis(self.stop_limit_ms)
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -18,7 +18,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::app::App;
 use crate::call::log_attempt;
@@ -166,8 +166,11 @@
         let mut timer = EventTimer { since: None, events: 0 };
         let (mut measurements, mut checked_at) = (0, 0);
         let mut parser = EventParser::new(VERSION_FIELD);
+        let mut reservation = self.app.client.reserve();
+        // Bytes that complete no event don't count as progress.
+        let mut event_deadline = Instant::now() + EVENT_TIMEOUT;
         loop {
-            let bytes = match timeout(EVENT_TIMEOUT, body.frame()).await {
+            let bytes = match timeout_at(event_deadline.into(), body.frame()).await {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) if parser.finish().is_ok() && text.last_event_id().is_some() => {
                     self.app.state.targets.load().record_success(self.engine.target());
@@ -179,6 +182,9 @@
                 Ok(Some(Err(e))) => return self.interrupted(&e.to_string()),
                 Err(_) => return self.interrupted("no event in time"),
             };
+            if let Err(e) = reservation.add(bytes.len()) {
+                return self.interrupted(&e.to_string());
+            }
             parser.push(&bytes);
             loop {
                 match parser.next_event() {
@@ -186,6 +192,7 @@
                         if let Err(e) = text.push(&event) {
                             return self.text_error(e);
                         }
+                        event_deadline = Instant::now() + EVENT_TIMEOUT;
                         if let Some(took) = timer.count(Instant::now()) {
                             self.record_token_time(took);
                             measurements += 1;
@@ -244,6 +251,10 @@
                 self.app.state.targets.load().record_busy(self.engine.target(), until);
                 RunOutcome::Refused
             }
+            TextError::TooLong { .. } => {
+                self.record_failure("text without end");
+                RunOutcome::Inconsistent
+            }
             TextError::MixedVersions { .. }
             | TextError::MissingId { .. }
             | TextError::UnknownVersion(_)
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -30,6 +30,7 @@
 
 use bpaf::Parser;
 use cassia_adapter::HttpStore;
+use cassia_clients::ByteBudget;
 use cassia_node::HELP_HEADER;
 use cassia_node::run_program;
 use cassia_node::set_log_host;
@@ -57,8 +58,9 @@
 }
 
 async fn run(settings: ServeSettings) -> anyhow::Result<()> {
-    let store = Arc::new(HttpStore::new(settings.store));
-    let app = Arc::new(App::new(&settings, store));
+    let response_budget = Arc::new(ByteBudget::new(settings.response_buffer_bytes));
+    let store = Arc::new(HttpStore::new(settings.store, Arc::clone(&response_budget)));
+    let app = Arc::new(App::new(&settings, store, response_budget));
     log::info!(event = "started", step = "start", host = settings.host.as_str(); "started");
     let _ops = settings.ops.map(|addr| ops::start(&app, addr)).transpose()?;
     let server = ingress::start(&settings, &app).await?;
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -5,10 +5,14 @@
 
 use bytes::Bytes;
 use cassia_adapter::RequestHead;
+use cassia_adapter::VERSION_FIELD;
 use cassia_adapter::decode_response_head;
 use cassia_adapter::strip_hop_by_hop;
 use cassia_adapter::target_request;
 use cassia_clients::ErrorKind;
+use cassia_ids::RequestId;
+use cassia_jobs::EventError;
+use cassia_jobs::EventParser;
 use cassia_route::Choice;
 use cassia_route::InFlight;
 use cassia_route::Route;
@@ -17,6 +21,8 @@
 use http::Response;
 use http::request::Parts;
 use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 
 use crate::app::App;
@@ -77,7 +83,7 @@
                     return Refusal::OutcomeUnknown.response("stream");
                 }
                 if !response_head.not_run {
-                    return forward_response(response, in_flight);
+                    return forward_response(app, head.id.clone(), response, in_flight);
                 }
             }
             Err(e) if e.kind == ErrorKind::Connect => {
@@ -94,14 +100,60 @@
 }
 
 /// Forwards the stream; the request counts as in flight until the stream ends.
-fn forward_response(response: Response<Incoming>, in_flight: InFlight) -> Response<Body> {
+/// Bytes that are no events end the stream, so that the caller does not take it
+/// as complete.
+fn forward_response(
+    app: &Arc<App>,
+    id: RequestId,
+    response: Response<Incoming>,
+    in_flight: InFlight,
+) -> Response<Body> {
     let (parts, body) = response.into_parts();
-    let body = body.map_frame(move |frame| {
-        let _in_flight = &in_flight;
-        frame
-    });
-    let mut forwarded = Response::new(body.map_err(anyhow::Error::from).boxed_unsync());
+    let forwarded = ForwardedStream {
+        app: Arc::clone(app),
+        id,
+        body,
+        in_flight,
+        parser: EventParser::new(VERSION_FIELD),
+    };
+    let frames = futures::stream::try_unfold(forwarded, ForwardedStream::next_frame);
+    let mut forwarded = Response::new(StreamBody::new(frames).boxed_unsync());
     *forwarded.status_mut() = parts.status;
     *forwarded.headers_mut() = strip_hop_by_hop(&parts.headers);
     forwarded
 }
+
+/// A stream that is being forwarded.
+struct ForwardedStream {
+    app: Arc<App>,
+    id: RequestId,
+    body: Incoming,
+    in_flight: InFlight,
+    /// Checks that what is forwarded consists of events.
+    parser: EventParser,
+}
+
+impl ForwardedStream {
+    async fn next_frame(mut self) -> anyhow::Result<Option<(Frame<Bytes>, Self)>> {
+        let Some(frame) = self.body.frame().await else {
+            return Ok(None);
+        };
+        let frame = frame?;
+        if let Some(data) = frame.data_ref()
+            && let Err(e) = self.check(data)
+        {
+            let target = self.in_flight.target();
+            self.app.state.targets.load().record_failure(target, Instant::now());
+            let (id, peer) = (self.id.as_str(), target.info.id.as_str());
+            log::info!(event = "stream_invalid", step = "stream", id, peer; "{e}");
+            return Err(e.into());
+        }
+        Ok(Some((frame, self)))
+    }
+
+    fn check(&mut self, data: &[u8]) -> Result<(), EventError> {
+        self.parser.push(data);
+        while self.parser.next_event()?.is_some() {}
+        Ok(())
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 //! # });
 //! ```
 
+mod endless;
 mod engine;
 mod log;
 mod proxy;
@@ -25,6 +26,8 @@
 mod trainer;
 mod weight_store;
 
+pub use crate::endless::Endless;
+pub use crate::endless::EndlessTarget;
 pub use crate::engine::EngineFaults;
 pub use crate::engine::EngineSpec;
 pub use crate::engine::EngineStandin;
--- a/crates/trials/src/platform_env.rs
+++ b/crates/trials/src/platform_env.rs
@@ -8,6 +8,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use cassia_standin::Endless;
+use cassia_standin::EndlessTarget;
 use cassia_standin::StoreStandin;
 use cassia_standin::TargetSpec;
 use cassia_standin::TargetStandin;
@@ -119,6 +121,29 @@
         Ok(target)
     }
 
+    /// Starts a target that sends bytes without end; it is listed as long as
+    /// this environment exists.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn add_endless_target(
+        &mut self,
+        service: &str,
+        kind: Endless,
+    ) -> io::Result<Arc<EndlessTarget>> {
+        let model = (service == "lm").then_some(ENGINE_MODEL);
+        let target = Arc::new(EndlessTarget::start("endless", service, model, kind).await?);
+        let (sender, store) = (Arc::clone(&target), Arc::clone(&self.store));
+        self.heartbeats.push(tokio::spawn(async move {
+            loop {
+                store.put("keyed.servers", sender.id(), Some(&sender.heartbeat()));
+                sleep(HEARTBEAT_INTERVAL).await;
+            }
+        }));
+        Ok(target)
+    }
+
     /// Starts a process and waits until it is ready.
     ///
     /// # Errors
@@ -239,6 +264,7 @@
         route("quote", "idempotent", "intake"),
         route("once", "non_idempotent", "intake"),
         route("score", "idempotent", "intake"),
+        route("stream", "stream", "lm"),
         job,
     ];
     if with_extra {
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use anyhow::Context;
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
@@ -224,6 +225,18 @@
         }
     }
 
+    /// Returns the peak resident memory of the process, in megabytes.
+    ///
+    /// # Errors
+    ///
+    /// The process has ended.
+    pub fn peak_mb(&self) -> anyhow::Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()))?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).context("no peak")?;
+        let kb: u64 = line.split_whitespace().nth(1).context("no number")?.parse()?;
+        Ok(kb >> 10)
+    }
+
     /// Returns the process id.
     #[must_use]
     pub fn id(&self) -> u32 {
--- a/crates/trials/tests/platform_body_limits.rs
+++ b/crates/trials/tests/platform_body_limits.rs
@@ -173,7 +173,7 @@
         env.request(&process, "/quote/1", "r").await.status
     };
     let (_, status) = tokio::join!(join_all(sends), served);
-    let peak = peak_mb(&process)?;
+    let peak = process.peak_mb()?;
     assert!(peak < MAX_PEAK_MB, "{peak} MB");
     assert_eq!(status, 200, "other requests are served");
     for (n, stream) in streams.iter_mut().enumerate() {
@@ -184,11 +184,3 @@
     }
     Ok(())
 }
-
-/// Returns the peak resident memory of a process, in megabytes.
-fn peak_mb(process: &Process) -> anyhow::Result<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", process.id()))?;
-    let line = status.lines().find(|line| line.starts_with("VmHWM:")).context("no peak")?;
-    let kb: u64 = line.split_whitespace().nth(1).context("no number")?.parse()?;
-    Ok(kb >> 10)
-}
