Orders: renew the lease while engines are slow to answer, and go on beside silent ones

A round read the reports of the loading engines of one model after the other, 400 ms each, and waited for all orders; with six models it took longer than the lease's term, so the lease was over whenever an order was ready. Engines behind the cut, soon the furthest behind, also came first again every 700 ms and took loads from the others. Ruled out: the lease (no change of holder), the store (not cut off from it), the named versions (hosts had them).

Change: reports are read and orders sent beside the rounds; each order looks at the lease as it is then. An engine that does not answer is tried again after 0.7, 1.4, then 2.8 s.

--- a/crates/orders/src/tracker.rs
+++ b/crates/orders/src/tracker.rs
@@ -16,6 +16,10 @@
 const LOAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long an engine that refused an order gets no other.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(700);
+/// Number of times that this doubles for an engine that stays unreachable.
+/// Otherwise the engines behind a network partition, which are soon the
+/// furthest behind, would take up most of the loads.
+const MAX_BACKOFF_DOUBLINGS: u32 = 2;
 
 /// Returns how many of `engines` may load at once, over all models. More would
 /// be slower, and enough engines must keep serving.
@@ -61,6 +65,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadTracker {
     orders: BTreeMap<TargetId, Order>,
+    /// Number of consecutive orders that did not reach an engine.
+    unreachable: BTreeMap<TargetId, u32>,
 }
 
 impl LoadTracker {
@@ -84,6 +90,7 @@
             let engine = listed.get(id);
             now < order.until && engine.is_some_and(|engine| order.is_in_progress(engine))
         });
+        self.unreachable.retain(|id, _| listed.contains_key(id));
     }
 
     /// Records that an engine is executing an order, or may be.
@@ -91,11 +98,25 @@
         self.insert(engine, version, now + LOAD_TIMEOUT, true);
     }
 
+    /// Records that an engine answered an order.
+    pub fn record_answer(&mut self, engine: &EngineState) {
+        self.unreachable.remove(&engine.id);
+    }
+
     /// Records that an engine refused an order.
     pub fn record_refusal(&mut self, engine: &EngineState, version: Version, now: Instant) {
+        self.record_answer(engine);
         self.insert(engine, version, now + REFUSAL_BACKOFF, false);
     }
 
+    /// Records that an order did not reach an engine.
+    pub fn record_unreachable(&mut self, engine: &EngineState, version: Version, now: Instant) {
+        let count = self.unreachable.entry(engine.id.clone()).or_default();
+        let backoff = REFUSAL_BACKOFF * (1 << (*count).min(MAX_BACKOFF_DOUBLINGS));
+        *count += 1;
+        self.insert(engine, version, now + backoff, false);
+    }
+
     /// Returns the version that an engine has or is loading.
     #[must_use]
     pub fn effective_version(&self, engine: &EngineState) -> Version {
--- a/crates/serve/src/order.rs
+++ b/crates/serve/src/order.rs
@@ -1,5 +1,7 @@
 //! Engines' reports and orders to engines.
 
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,16 +16,25 @@
 use cassia_ids::Fence;
 use cassia_ids::ModelName;
 use cassia_ids::TargetId;
-use cassia_ids::Version;
+use cassia_lease::HeldLease;
+use cassia_orders::DueLoad;
 use cassia_orders::LoadTracker;
 use cassia_route::Heartbeat;
-use futures::future::join_all;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 use crate::app::App;
 
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// An order is only sent if the lease is valid for this much longer, which
+/// covers most of the time until the order arrives.
+const SEND_MARGIN: Duration = Duration::from_millis(400);
+/// Maximum number of a model's engines whose reports are read in one round.
+/// The heartbeats show the progress of the others.
+const MAX_POLLED_ENGINES: usize = 8;
+
 /// The outcome of an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum OrderOutcome {
@@ -31,17 +42,52 @@
     Loading,
     /// It was not sent, or the engine refused it.
     Refused,
+    /// The engine did not answer, and got no order.
+    Unreachable,
 }
 
-/// Maximum number of a model's engines whose reports are read in one round.
-/// The heartbeats show the progress of the others.
-const MAX_POLLED_ENGINES: usize = 8;
+/// The lease under which an order is sent.
+#[derive(Clone, Debug)]
+pub(crate) struct OrderLease {
+    /// The fencing token when the order was started.
+    pub(crate) fence: Fence,
+    /// The lease as it is now.
+    pub(crate) held: watch::Receiver<Option<HeldLease>>,
+}
+
+impl OrderLease {
+    /// Returns whether the order may still be sent.
+    fn may_send(&self, now: Instant) -> bool {
+        let held = *self.held.borrow();
+        held.is_some_and(|held| held.fence == self.fence && now + SEND_MARGIN < held.until)
+    }
+}
 
-/// Reads the reports of the engines that have been loading for the longest
-/// time, and records their versions.
-pub(crate) async fn poll_progress(app: &App, model: &ModelName, tracker: &LoadTracker) {
-    let ids = tracker.longest_in_progress(MAX_POLLED_ENGINES);
-    join_all(ids.iter().map(|id| poll_report(app, id, model))).await;
+/// The reports of loading engines that are being read, at most one an engine.
+#[derive(Debug, Default)]
+pub(crate) struct EngineReports {
+    running: HashMap<TargetId, JoinHandle<()>>,
+}
+
+impl EngineReports {
+    /// Begins to read the reports of the engines that have been loading for
+    /// the longest time. Their versions are recorded as the reports arrive.
+    pub(crate) fn read_progress(
+        &mut self,
+        app: &Arc<App>,
+        model: &ModelName,
+        tracker: &LoadTracker,
+    ) {
+        self.running.retain(|_, task| !task.is_finished());
+        for id in tracker.longest_in_progress(MAX_POLLED_ENGINES) {
+            let (app, model) = (Arc::clone(app), model.clone());
+            self.running.entry(id.clone()).or_insert_with(|| {
+                tokio::spawn(async move {
+                    poll_report(&app, &id, &model).await;
+                })
+            });
+        }
+    }
 }
 
 /// Reads an engine's report and records its version of the model.
@@ -69,18 +115,21 @@
     Some((heartbeat, report))
 }
 
-/// Sends an engine the order to load a version, if `may_send` returns true
+/// Sends an engine the order to load a version, if the lease is still held
 /// right before sending.
 pub(crate) async fn send_order(
-    app: &App,
-    id: &TargetId,
-    model: &ModelName,
-    version: Version,
-    fence: Fence,
-    may_send: &impl Fn() -> bool,
-) -> OrderOutcome {
+    app: Arc<App>,
+    due: DueLoad,
+    lease: OrderLease,
+) -> (DueLoad, OrderOutcome) {
+    let outcome = try_send_order(&app, &due, &lease).await;
+    (due, outcome)
+}
+
+async fn try_send_order(app: &App, due: &DueLoad, lease: &OrderLease) -> OrderOutcome {
+    let (id, model, version) = (&due.engine.id, &due.model, due.version);
     let Some((heartbeat, report)) = poll_report(app, id, model).await else {
-        return OrderOutcome::Refused;
+        return OrderOutcome::Unreachable;
     };
     if report.busy || app.state.version_of(id, model) >= Some(version) {
         return OrderOutcome::Refused;
@@ -90,14 +139,14 @@
         model: model.clone(),
         version,
         holder: app.state.host.clone(),
-        fence: fence + 1,
+        fence: lease.fence + 1,
         expected_orders: report.orders,
         drain_first: false,
     };
     let Ok(request) = order_request(heartbeat.addr, &order) else {
         return OrderOutcome::Refused;
     };
-    if !may_send() {
+    if !lease.may_send(app.clock.now()) {
         return OrderOutcome::Refused;
     }
     let deadline = Instant::now() + ORDER_TIMEOUT;
@@ -109,12 +158,12 @@
             }
             outcome => (OrderOutcome::Refused, outcome.to_string()),
         },
-        Err(e) if e.kind == ErrorKind::Connect => (OrderOutcome::Refused, e.to_string()),
+        Err(e) if e.kind == ErrorKind::Connect => (OrderOutcome::Unreachable, e.to_string()),
         // The engine may still carry it out, but not after a later order: it
         // then refuses this one because of `expected_orders`.
         Err(e) => (OrderOutcome::Loading, e.to_string()),
     };
-    let (target, model) = (id.as_str(), model.as_str());
+    let (target, model, fence) = (id.as_str(), model.as_str(), lease.fence);
     log::info!(event = "order", step = "order", target, model, version, fence, after_orders = report.orders, outcome; "order sent");
     load_outcome
 }
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -32,11 +32,14 @@
 use cassia_orders::max_loads;
 use cassia_orders::schedule_loads;
 use cassia_route::Heartbeat;
-use futures::future::join_all;
 use smol_str::format_smolstr;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::app::App;
 use crate::order;
+use crate::order::EngineReports;
+use crate::order::OrderLease;
 use crate::order::OrderOutcome;
 
 /// The lease for sending orders to the engines.
@@ -51,9 +54,9 @@
 /// Maximum time from sending an order to its arrival, including the
 /// connection.
 const MAX_ORDER_DELAY: Duration = Duration::from_millis(600);
-/// An order is only sent if the lease is valid for this much longer, which
-/// covers most of the time until the order arrives.
-const SEND_MARGIN: Duration = Duration::from_millis(400);
+/// Maximum time from starting an order, which begins with a report of the
+/// engine, to its arrival.
+const MAX_ORDER_TIME: Duration = Duration::from_secs(1);
 /// Number of partitions, from the first on, whose owners contend for the
 /// lease. The later the partition, the longer its owner waits before it does.
 const MAX_CONTENDERS: u32 = 2;
@@ -93,6 +96,12 @@
     reset_at: Option<Instant>,
     /// Latest time at which the last order may arrive.
     last_order_arrival: Option<Instant>,
+    /// The lease as the orders under way see it.
+    held: watch::Sender<Option<HeldLease>>,
+    /// The orders under way, and the reports that are being read. The lease is
+    /// renewed meanwhile: an engine may take longer to answer than its term.
+    orders: JoinSet<(DueLoad, OrderOutcome)>,
+    reports: EngineReports,
 }
 
 impl WeightsController {
@@ -110,6 +119,9 @@
             held_fence: None,
             reset_at: None,
             last_order_arrival: None,
+            held: watch::Sender::new(None),
+            orders: JoinSet::new(),
+            reports: EngineReports::default(),
         }
     }
 
@@ -127,9 +139,30 @@
         }
         let held = self.lease.held_lease(app.clock.now());
         self.update_held(held);
+        self.collect_outcomes();
         let Some(held) = held else { return };
         if held.may_act(app.clock.now(), quiet_period(app)) {
-            self.send_orders(app, held).await;
+            self.send_orders(app, held);
+        }
+    }
+
+    /// Records the outcomes of the orders that were sent.
+    fn collect_outcomes(&mut self) {
+        while let Some(finished) = self.orders.try_join_next() {
+            match finished {
+                Ok((due, outcome)) => self.record_outcome(&due, outcome),
+                Err(e) => log::warn!(event = "order_failed", step = "order"; "{e}"),
+            }
+        }
+    }
+
+    fn record_outcome(&mut self, due: &DueLoad, outcome: OrderOutcome) {
+        let tracker = self.trackers.entry(due.model.clone()).or_default();
+        let now = Instant::now();
+        match outcome {
+            OrderOutcome::Loading => tracker.record_answer(&due.engine),
+            OrderOutcome::Refused => tracker.record_refusal(&due.engine, due.version, now),
+            OrderOutcome::Unreachable => tracker.record_unreachable(&due.engine, due.version, now),
         }
     }
 
@@ -192,6 +225,11 @@
     /// Keeps the lease until the next holder may send orders immediately, then
     /// releases it.
     async fn stop(&mut self, app: &App) {
+        if !self.orders.is_empty() {
+            // One of them may have just been sent.
+            self.last_order_arrival = Some(app.clock.now() + MAX_ORDER_DELAY);
+            self.orders.shutdown().await;
+        }
         let min_interval = Duration::from_millis(app.settings.lease_ms);
         let quiet_until = self.last_order_arrival.map(|arrival| arrival + min_interval);
         while self.held_fence.is_some() && quiet_until.is_some_and(|until| app.clock.now() < until)
@@ -213,6 +251,7 @@
     }
 
     fn update_held(&mut self, held: Option<HeldLease>) {
+        self.held.send_replace(held);
         let fence = held.map(|held| held.fence);
         if fence != self.held_fence {
             self.held_fence = fence;
@@ -220,29 +259,15 @@
         }
     }
 
-    /// Sends the orders of one round, for all models.
-    async fn send_orders(&mut self, app: &Arc<App>, held: HeldLease) {
-        let wanted = app.state.wanted.load_full();
+    /// Starts the orders of one round, for all models.
+    fn send_orders(&mut self, app: &Arc<App>, held: HeldLease) {
         for (model, tracker) in &self.trackers {
-            order::poll_progress(app, model, tracker).await;
-        }
-        let due = self.schedule(app, &wanted);
-        if due.is_empty() {
-            return;
+            self.reports.read_progress(app, model, tracker);
         }
-        self.last_order_arrival = Some(app.clock.now() + MAX_ORDER_DELAY);
-        let may_send = || {
-            let now = app.clock.now();
-            self.lease.held_lease(now).is_some_and(|held| now + SEND_MARGIN < held.until)
-        };
-        let outcomes = due.iter().map(|due| {
-            order::send_order(app, &due.engine.id, &due.model, due.version, held.fence, &may_send)
-        });
-        for (due, outcome) in due.iter().zip(join_all(outcomes).await) {
-            if outcome == OrderOutcome::Refused {
-                let tracker = self.trackers.entry(due.model.clone()).or_default();
-                tracker.record_refusal(&due.engine, due.version, Instant::now());
-            }
+        for due in self.schedule(app, &app.state.wanted.load_full()) {
+            self.last_order_arrival = Some(app.clock.now() + MAX_ORDER_TIME);
+            let lease = OrderLease { fence: held.fence, held: self.held.subscribe() };
+            self.orders.spawn(order::send_order(Arc::clone(app), due, lease));
         }
     }
 
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -59,6 +59,8 @@
     pub failing_ids: BTreeSet<String>,
     /// Orders get no response and are executed after this delay.
     pub order_delay: Option<Duration>,
+    /// No call gets a response.
+    pub silent: bool,
 }
 
 /// A request that ran on a target.
@@ -443,6 +445,9 @@
 #[async_trait]
 impl Handler for Arc<Shared> {
     async fn handle(&self, request: Request<Bytes>) -> Reply {
+        if lock(&self.state).faults.silent {
+            return Reply::Hang;
+        }
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/v1/report") => self.report_load(),
             (&Method::POST, "/v1/order") => self.handle_order(&request),
--- a/crates/trials/tests/platform_orders.rs
+++ b/crates/trials/tests/platform_orders.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use cassia_standin::TargetFaults;
+use cassia_standin::TargetSpec;
 use cassia_trials::PlatformEnv;
 use cassia_trials::eventually;
 use cassia_trials::start_processes;
@@ -89,6 +90,53 @@
     Ok(())
 }
 
+/// One engine of each of several models stops answering while it loads. The
+/// holder must go on renewing its lease and ordering the other engines.
+#[tokio::test]
+async fn orders_continue_beside_silent_engines() -> anyhow::Result<()> {
+    const MODELS: usize = 4;
+    const ENGINES_PER_MODEL: usize = 8;
+    /// Shorter than the time after which a load counts as failed.
+    const LIMIT: Duration = Duration::from_secs(2);
+    let model = |n: usize| format!("m{n}");
+    let mut env = PlatformEnv::start().await?;
+    for n in 0..MODELS * ENGINES_PER_MODEL {
+        env.add_target(TargetSpec {
+            id: format!("e{n:02}"),
+            service: "lm".to_owned(),
+            model: Some(model(n % MODELS)),
+            events: 6,
+            delay: Duration::from_millis(10),
+        })
+        .await?;
+    }
+    // Their loads stay under way.
+    let (silent, others) = env.targets.split_at(MODELS);
+    let order_delay = Some(Duration::from_secs(20));
+    for target in silent {
+        target.set_faults(TargetFaults { order_delay, ..TargetFaults::default() });
+    }
+    let _processes = start_processes(&env, 1).await?;
+    let publish = |version: u64| {
+        for n in 0..MODELS {
+            let value = serde_json::json!({"model": model(n), "version": version});
+            env.store.put("keyed.op", &format!("version/{}", model(n)), Some(&value));
+        }
+    };
+    publish(2);
+    let all_ordered = || async { silent.iter().all(|target| !target.orders().is_empty()) };
+    anyhow::ensure!(eventually(all_ordered).await, "an engine got no order");
+    for target in silent {
+        target.set_faults(TargetFaults { silent: true, ..TargetFaults::default() });
+    }
+    publish(3);
+    let started = Instant::now();
+    let loaded = || async { others.iter().filter(|t| t.version() == 3).count() >= MODELS };
+    anyhow::ensure!(eventually(loaded).await, "no other engine loaded the version");
+    assert!(started.elapsed() < LIMIT, "{:?}", started.elapsed());
+    Ok(())
+}
+
 #[tokio::test]
 async fn orders_applied_late_revert_nothing() -> anyhow::Result<()> {
     let env = PlatformEnv::start().await?.with_targets(2, 1).await?;
