Items: store the text of long runs, so that another process goes on from it

A trainer has two steps under way and never makes up for lost seconds, so the steps of the last windows were never asked for. Ruled out: the start of the jobs (0.3 s after the start of the processes), the orders (16 a second from 43 s on), the trainers' reads (a result is read within 0.5 s).

Change: a run's text is appended to the job's partition each second, with the last event's id and the versions; the table keeps the offset of the newest one of each item without a result; who starts the job again reads them and resumes after that event. Earlier releases skip the records.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -38,6 +38,7 @@
 pub use crate::read_plan::ReadPlan;
 pub use crate::record::Header;
 pub use crate::record::Item;
+pub use crate::record::ItemProgress;
 pub use crate::record::ItemResult;
 pub use crate::record::JobRecord;
 pub use crate::record::JobTooLargeError;
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -118,6 +118,27 @@
     pub score: String,
 }
 
+/// The start of an item's text, from which another process goes on if the one
+/// that runs the item ends.
+#[derive(Clone, Eq, Message, PartialEq)]
+pub struct ItemProgress {
+    /// Id of the job.
+    #[prost(string, tag = "1")]
+    pub job: String,
+    /// Index of the item in the job, from 0.
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    /// Id of the last event of the text.
+    #[prost(uint64, tag = "3")]
+    pub last_event_id: u64,
+    /// Data of the events so far, separated by line feeds.
+    #[prost(string, tag = "4")]
+    pub text: String,
+    /// Weight versions that generated them.
+    #[prost(uint64, repeated, tag = "5")]
+    pub versions: Vec<u64>,
+}
+
 /// A part of a submission; a submission that is too large for one record has
 /// several.
 #[derive(Clone, Eq, Message, PartialEq)]
@@ -153,11 +174,13 @@
     Result(ItemResult),
     #[prost(message, tag = "3")]
     End(End),
+    #[prost(message, tag = "4")]
+    Progress(ItemProgress),
 }
 
 #[derive(Clone, Eq, Message, PartialEq)]
 struct Envelope {
-    #[prost(oneof = "Body", tags = "1, 2, 3")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4")]
     body: Option<Body>,
 }
 
@@ -181,6 +204,8 @@
     },
     /// The result of an item.
     Result(ItemResult),
+    /// The start of an item's text. Earlier releases don't know it and skip it.
+    Progress(ItemProgress),
     /// The job is ended; items without a result are no longer run.
     End {
         /// Id of the job.
@@ -261,6 +286,14 @@
     }
 }
 
+impl ItemProgress {
+    /// Encodes the record of this progress.
+    #[must_use]
+    pub fn to_record(&self) -> Bytes {
+        Envelope { body: Some(Body::Progress(self.clone())) }.encode_to_vec().into()
+    }
+}
+
 impl JobRecord {
     /// Creates a record that ends a job.
     #[must_use]
@@ -288,6 +321,7 @@
             },
             Ok(Some(Body::Result(result))) => Self::Result(result),
             Ok(Some(Body::End(end))) => Self::End { job: end.job },
+            Ok(Some(Body::Progress(progress))) => Self::Progress(progress),
             Ok(None) | Err(_) => Self::Unknown,
         }
     }
--- a/crates/jobs/src/snapshot.rs
+++ b/crates/jobs/src/snapshot.rs
@@ -6,6 +6,8 @@
 //! Whoever has read the records can write it, and readers need not know who
 //! did: two processes that read the same records write the same jobs.
 
+use std::collections::BTreeMap;
+
 use bytes::Bytes;
 use cassia_ids::Offset;
 use prost::Message;
@@ -70,6 +72,13 @@
     /// Of each result: end position, relative to the result before.
     #[prost(uint64, repeated, tag = "10")]
     position_deltas: Vec<u64>,
+    /// Of each item with progress and no result: its index.
+    #[prost(uint32, repeated, tag = "11")]
+    progress_indexes: Vec<u32>,
+    /// Of the same items: offset of the newest record, relative to that of the
+    /// job.
+    #[prost(uint64, repeated, tag = "12")]
+    progress_offsets: Vec<u64>,
 }
 
 impl JobTable {
@@ -139,6 +148,8 @@
             offset_deltas: to_deltas(offsets),
             indexes: job.results.iter().map(|result| result.index).collect(),
             position_deltas: to_deltas(positions),
+            progress_indexes: job.progress.keys().copied().collect(),
+            progress_offsets: job.progress.values().map(|o| o - job.first_offset).collect(),
         }
     }
 
@@ -147,6 +158,7 @@
         if self.item_count > MAX_ITEMS
             || self.indexes.len() != self.offset_deltas.len()
             || self.indexes.len() != self.position_deltas.len()
+            || self.progress_indexes.len() != self.progress_offsets.len()
         {
             return None;
         }
@@ -161,12 +173,18 @@
             end_position = end_position.checked_add(*position_delta)?;
             results.push(ResultRef { offset, index, end_position });
         }
+        let mut progress = BTreeMap::new();
+        for (&index, offset) in self.progress_indexes.iter().zip(&self.progress_offsets) {
+            has_result.get(index as usize).filter(|has| !**has)?;
+            progress.insert(index, self.first_offset.checked_add(*offset)?);
+        }
         Some(Job {
             first_offset: self.first_offset,
             part_count: self.part_count,
             part_bytes: self.part_bytes,
             accepted_ms: self.accepted_ms,
             results,
+            progress,
             ended: self.ended,
             has_result,
         })
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -1,5 +1,6 @@
 //! The jobs of one partition, as derived from its records.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use cassia_ids::Offset;
@@ -35,6 +36,9 @@
     pub accepted_ms: u64,
     /// The result at each position.
     pub results: Vec<ResultRef>,
+    /// Offset of the newest record of the progress of each item that has no
+    /// result, by the item's index.
+    pub progress: BTreeMap<u32, Offset>,
     /// Whether the job was ended.
     pub ended: bool,
     /// Whether the item at each index has a result.
@@ -74,6 +78,13 @@
         /// Index of the item in the job.
         index: u32,
     },
+    /// An item of the job has made progress.
+    Progressed {
+        /// The job.
+        job: JobId,
+        /// Index of the item in the job.
+        index: u32,
+    },
     /// The job was ended.
     Ended(JobId),
     /// Nothing changed: the record is a duplicate or can't be decoded.
@@ -146,12 +157,16 @@
                     part_bytes: u64::from(*part_count) * size as u64,
                     accepted_ms: *accepted_ms,
                     results: Vec::new(),
+                    progress: BTreeMap::new(),
                     ended: false,
                     has_result: vec![false; *item_count as usize],
                 };
                 self.accept(job, job_state)
             }
             JobRecord::Result(result) => self.add_result(offset, &result.job, result.index),
+            JobRecord::Progress(progress) => {
+                self.add_progress(offset, &progress.job, progress.index)
+            }
             JobRecord::End { job } => self.end(job),
             JobRecord::Part { .. } | JobRecord::Unknown => Applied::Unchanged,
         }
@@ -179,15 +194,26 @@
             return Applied::Unchanged;
         };
         *has_result = true;
+        job.progress.remove(&index);
         job.results.push(ResultRef { offset, index, end_position });
         Applied::ResultAdded { job: id.into(), index }
     }
 
+    fn add_progress(&mut self, offset: Offset, id: &str, index: u32) -> Applied {
+        let job = self.jobs.get_mut(id).filter(|job| !job.ended && !job.has_result(index));
+        let Some(job) = job else {
+            return Applied::Unchanged;
+        };
+        job.progress.insert(index, offset);
+        Applied::Progressed { job: id.into(), index }
+    }
+
     fn end(&mut self, id: &str) -> Applied {
         let Some(job) = self.jobs.get_mut(id).filter(|job| !job.ended) else {
             return Applied::Unchanged;
         };
         job.ended = true;
+        job.progress.clear();
         Applied::Ended(id.into())
     }
 }
--- a/crates/jobs/src/text.rs
+++ b/crates/jobs/src/text.rs
@@ -3,6 +3,7 @@
 use cassia_ids::Version;
 
 use crate::Event;
+use crate::ItemProgress;
 
 /// Why an event or a run does not continue the text.
 #[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
@@ -74,6 +75,37 @@
         Self { min_version, single_version, max_bytes, ..Self::default() }
     }
 
+    /// Goes on from a start of the text that another process had stored.
+    ///
+    /// # Errors
+    ///
+    /// A version that generated it is not allowed, or it is too long.
+    pub fn continue_from(mut self, progress: &ItemProgress) -> Result<Self, TextError> {
+        for version in &progress.versions {
+            self.check_version(*version)?;
+            self.versions.push(*version);
+        }
+        if progress.text.len() > self.max_bytes {
+            return Err(TextError::TooLong { max_bytes: self.max_bytes });
+        }
+        self.text.clone_from(&progress.text);
+        self.last_event_id = Some(progress.last_event_id);
+        Ok(self)
+    }
+
+    /// Returns the progress of an item with this text; `None` if the text has
+    /// no event.
+    #[must_use]
+    pub fn progress(&self, job: &str, index: u32) -> Option<ItemProgress> {
+        Some(ItemProgress {
+            job: job.to_owned(),
+            index,
+            last_event_id: self.last_event_id?,
+            text: self.text.clone(),
+            versions: self.versions.clone(),
+        })
+    }
+
     /// Starts the first run, or one that resumes after another broke off.
     /// `version` is the engine's weight version, if known.
     ///
--- a/crates/jobs/tests/snapshot.rs
+++ b/crates/jobs/tests/snapshot.rs
@@ -2,6 +2,7 @@
 //! record.
 
 use bytes::Bytes;
+use cassia_jobs::ItemProgress;
 use cassia_jobs::ItemResult;
 use cassia_jobs::JobRecord;
 use cassia_jobs::JobTable;
@@ -30,11 +31,17 @@
     JobRecord::Result(ItemResult { job, index, completed: true, ..ItemResult::default() })
 }
 
+fn progress(job: &str, index: u32) -> JobRecord {
+    let job = job.to_owned();
+    JobRecord::Progress(ItemProgress { job, index, ..ItemProgress::default() })
+}
+
 fn any_record() -> impl Strategy<Value = JobRecord> {
     let job = prop::sample::select(&JOBS[..]);
     prop_oneof![
         2 => job.clone().prop_map(part),
         6 => (job.clone(), 0..ITEM_COUNT + 1).prop_map(|(job, index)| result(job, index)),
+        4 => (job.clone(), 0..ITEM_COUNT + 1).prop_map(|(job, index)| progress(job, index)),
         1 => job.prop_map(JobRecord::new_end),
         1 => Just(JobRecord::Unknown),
     ]
--- a/crates/jobs/tests/table.rs
+++ b/crates/jobs/tests/table.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use cassia_jobs::Applied;
 use cassia_jobs::Item;
+use cassia_jobs::ItemProgress;
 use cassia_jobs::ItemResult;
 use cassia_jobs::JobRecord;
 use cassia_jobs::JobTable;
@@ -35,6 +36,11 @@
     })
 }
 
+fn progress(job: &str, index: u32) -> JobRecord {
+    let job = job.to_owned();
+    JobRecord::Progress(ItemProgress { job, index, ..ItemProgress::default() })
+}
+
 /// Records that cover every transition of one job of two items, plus some of
 /// another job.
 fn record_kinds() -> Vec<JobRecord> {
@@ -48,6 +54,7 @@
         JobRecord::new_end("a"),
         first_part("b"),
         result("b", 0, "of b"),
+        progress("a", 1),
         JobRecord::Unknown,
     ]
 }
@@ -184,6 +191,19 @@
     vec![first_part("a"), JobRecord::new_end("a"), result("a", 0, "x")],
     Applied::Unchanged
 )]
+#[case::progress(
+    vec![first_part("a"), progress("a", 1)],
+    Applied::Progressed { job: "a".into(), index: 1 }
+)]
+#[case::progress_after_the_result(
+    vec![first_part("a"), result("a", 1, "x"), progress("a", 1)],
+    Applied::Unchanged
+)]
+#[case::progress_after_the_end(
+    vec![first_part("a"), JobRecord::new_end("a"), progress("a", 1)],
+    Applied::Unchanged
+)]
+#[case::progress_of_no_item(vec![first_part("a"), progress("a", 9)], Applied::Unchanged)]
 #[case::end(vec![first_part("a"), JobRecord::new_end("a")], Applied::Ended("a".into()))]
 #[case::end_again(vec![first_part("a"), JobRecord::new_end("a"), JobRecord::new_end("a")], Applied::Unchanged)]
 #[case::end_of_unknown_job(vec![JobRecord::new_end("a")], Applied::Unchanged)]
@@ -224,3 +244,18 @@
     }
     assert!(counts.iter().all(|count| (50..200).contains(count)), "{counts:?}");
 }
+
+#[test]
+fn only_the_newest_progress_of_an_item_without_result_is_kept() {
+    let mut table = JobTable::default();
+    let records = [first_part("a"), progress("a", 0), progress("a", 1), progress("a", 0)];
+    for (offset, record) in (0..).zip(&records) {
+        table.apply(offset, RECORD_BYTES, record);
+    }
+    let offsets = |table: &JobTable| table.job("a").expect("a job").progress.clone();
+    assert_eq!(offsets(&table).into_iter().collect::<Vec<_>>(), [(0, 3), (1, 2)]);
+    table.apply(4, RECORD_BYTES, &result("a", 0, "x"));
+    assert_eq!(offsets(&table).into_iter().collect::<Vec<_>>(), [(1, 2)]);
+    table.apply(5, RECORD_BYTES, &JobRecord::new_end("a"));
+    assert!(offsets(&table).is_empty());
+}
--- a/crates/jobs/tests/text.rs
+++ b/crates/jobs/tests/text.rs
@@ -4,6 +4,7 @@
 use cassia_jobs::Event;
 use cassia_jobs::EventError;
 use cassia_jobs::EventParser;
+use cassia_jobs::ItemProgress;
 use cassia_jobs::ItemText;
 use cassia_jobs::TextError;
 use proptest::prelude::*;
@@ -154,3 +155,50 @@
     let event = parser.next_event().expect("valid event stream").expect("complete event");
     assert_eq!((event.id, event.data.as_str()), (Some(4), "a\nb"));
 }
+
+/// A text that goes on from its stored start equals one that was not stored.
+#[rstest]
+#[case::at_once(1)]
+#[case::later(3)]
+fn a_stored_start_is_continued(#[case] stored_after: u64) {
+    let event = |id: u64| Event { id: Some(id), data: format!("piece {id}"), version: None };
+    let new_text = || ItemText::new(1, false, MAX_BYTES);
+    let (mut whole, mut first) = (new_text(), new_text());
+    assert!(first.progress("j", 7).is_none(), "no event yet");
+    for text in [&mut whole, &mut first] {
+        text.start_run(Some(2)).expect("allowed");
+        (0..stored_after).for_each(|id| text.push(&event(id)).expect("the next event"));
+    }
+    let progress = first.progress("j", 7).expect("events");
+    assert_eq!((progress.index, progress.last_event_id), (7, stored_after - 1));
+    let mut second = new_text().continue_from(&progress).expect("an allowed version");
+    for text in [&mut whole, &mut second] {
+        text.start_run(Some(3)).expect("allowed");
+        (stored_after..6).for_each(|id| text.push(&event(id)).expect("the next event"));
+    }
+    assert_eq!(second.finish(), whole.finish());
+}
+
+#[rstest]
+#[case::version_too_old(ItemText::new(3, false, MAX_BYTES))]
+#[case::text_too_long(ItemText::new(1, false, 4))]
+fn a_stored_start_that_is_not_allowed_is_refused(#[case] text: ItemText) {
+    let progress = ItemProgress {
+        job: "j".to_owned(),
+        index: 0,
+        last_event_id: 1,
+        text: "piece 0\npiece 1".to_owned(),
+        versions: vec![2],
+    };
+    assert!(text.continue_from(&progress).is_err());
+}
+
+/// An engine that sends events without end must not take all memory.
+#[test]
+fn a_text_has_a_limit() {
+    let mut text = ItemText::new(1, false, 100);
+    text.start_run(Some(1)).expect("allowed");
+    let event = |id| Event { id: Some(id), data: "x".repeat(9), version: None };
+    let pushed = (0..1_000).take_while(|id| text.push(&event(*id)).is_ok()).count();
+    assert_eq!(pushed, 10);
+}
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -35,6 +35,9 @@
 const EVENTS_PER_MEASUREMENT: u32 = 4;
 /// Number of measurements after which a run counts as long.
 const LONG_RUN_MEASUREMENTS: u32 = 5;
+/// How often the text of a run is stored. A process that takes the item over
+/// generates no more than this again.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 /// Priority of items at engines: lower than that of callers' requests.
 const ITEM_PRIORITY: u8 = 5;
 
@@ -66,6 +69,8 @@
     pub(crate) engine: &'a InFlight,
     /// Returns whether a faster engine has a free slot.
     pub(crate) has_faster_slot: &'a (dyn Fn() -> bool + Send + Sync),
+    /// Stores the text so far.
+    pub(crate) store_progress: &'a (dyn Fn(&ItemText) + Send + Sync),
 }
 
 /// Measures the time between events.
@@ -169,6 +174,7 @@
         let mut reservation = self.app.client.reserve();
         // Bytes that complete no event don't count as progress.
         let mut event_deadline = Instant::now() + EVENT_TIMEOUT;
+        let mut store_at = Instant::now() + PROGRESS_INTERVAL;
         loop {
             let bytes = match timeout_at(event_deadline.into(), body.frame()).await {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
@@ -202,6 +208,10 @@
                     Err(e) => return self.interrupted(&e.to_string()),
                 }
             }
+            if Instant::now() >= store_at {
+                store_at = Instant::now() + PROGRESS_INTERVAL;
+                (self.store_progress)(text);
+            }
             // A run that is nearly done should not move. What is left of it is
             // unknown, so only runs that have proved long move, and those at
             // slow engines.
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -1,5 +1,6 @@
 //! Runs one item of a batch job.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
@@ -7,9 +8,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use cassia_adapter::reward_request;
 use cassia_ids::ModelName;
 use cassia_jobs::Item;
+use cassia_jobs::ItemProgress;
 use cassia_jobs::ItemResult;
 use cassia_jobs::ItemText;
 use cassia_jobs::RetryDecision;
@@ -33,6 +36,7 @@
 use crate::generate::Run;
 use crate::generate::RunOutcome;
 use crate::slot::Slot;
+use crate::state::lock;
 
 /// One in this many items of a job, the longest ones, counts as long.
 const LONG_ITEM_DIVISOR: usize = 4;
@@ -43,6 +47,25 @@
 /// Added to the retention of an item, since the hosts' clocks differ.
 const MAX_CLOCK_SKEW_MS: u64 = 6_000;
 
+/// What the run of an item adds to the log.
+#[derive(Clone, Debug)]
+pub(crate) enum JobOutput {
+    /// The item's result.
+    Result(ItemResult),
+    /// Its text so far.
+    Progress(ItemProgress),
+}
+
+impl JobOutput {
+    /// Encodes the record.
+    pub(crate) fn to_record(&self) -> Bytes {
+        match self {
+            Self::Result(result) => result.to_record(),
+            Self::Progress(progress) => progress.to_record(),
+        }
+    }
+}
+
 /// What the items of a job share.
 #[derive(Debug)]
 pub(crate) struct JobContext {
@@ -50,7 +73,7 @@
     partition: u32,
     pub(crate) submission: Submission,
     pub(crate) model: ModelName,
-    tx: mpsc::UnboundedSender<ItemResult>,
+    tx: mpsc::UnboundedSender<JobOutput>,
     /// Number of expected output tokens from which on an item counts as long.
     pub(crate) long_item_tokens: u64,
     /// Mean number of expected output tokens of an item.
@@ -59,6 +82,8 @@
     pub(crate) token_time: TokenTime,
     /// When to log next what the items wait for.
     pub(crate) next_wait_log: Mutex<Instant>,
+    /// Where the items go on that another process had begun, by their indexes.
+    progress: Mutex<HashMap<u32, ItemProgress>>,
 }
 
 /// Total time and number of expected tokens of the completed items.
@@ -118,7 +143,8 @@
         app: Arc<App>,
         partition: u32,
         submission: Submission,
-        tx: mpsc::UnboundedSender<ItemResult>,
+        progress: Vec<ItemProgress>,
+        tx: mpsc::UnboundedSender<JobOutput>,
     ) -> Self {
         let mut tokens: Vec<_> =
             submission.items.iter().map(|item| item.expected_output.max(1)).collect();
@@ -129,6 +155,7 @@
         let model = SmolStr::new(&submission.model);
         let next_wait_log = Mutex::new(Instant::now());
         let token_time = TokenTime::default();
+        let progress = progress.into_iter().map(|progress| (progress.index, progress)).collect();
         Self {
             app,
             partition,
@@ -139,6 +166,7 @@
             mean_tokens,
             token_time,
             next_wait_log,
+            progress: Mutex::new(progress),
         }
     }
 
@@ -198,7 +226,7 @@
         self.app.metrics.time("item.time", &self.model, took);
         // While the process ends there may be no receiver. The item then has
         // no result and is run again.
-        let _ = self.tx.send(result);
+        let _ = self.tx.send(JobOutput::Result(result));
         None
     }
 
@@ -247,7 +275,7 @@
         let item = self.item(index);
         let mut attempts = RetryState::default();
         let mut next = Some(slot);
-        let mut text: Option<ItemText> = None;
+        let mut text = self.stored_text(index, &item.path);
         let mut failed = Vec::new();
         let mut moves = 0;
         loop {
@@ -275,8 +303,20 @@
                     && self.claim_free_slot(index, SlotPreference::Fastest, better).is_some()
             };
             let has_faster_slot = &has_faster_slot;
-            let run =
-                Run { app: &self.app, host, model: &self.model, item, engine, has_faster_slot };
+            let store_progress = |text: &ItemText| {
+                if let Some(progress) = text.progress(&self.submission.id, index) {
+                    let _ = self.tx.send(JobOutput::Progress(progress));
+                }
+            };
+            let run = Run {
+                app: &self.app,
+                host,
+                model: &self.model,
+                item,
+                engine,
+                has_faster_slot,
+                store_progress: &store_progress,
+            };
             let outcome = run.generate(so_far).await;
             let tried = engine.target().info.id.clone();
             drop(slot);
@@ -303,6 +343,22 @@
         }
     }
 
+    fn new_text(&self, route: &Route) -> ItemText {
+        let max_bytes = self.app.settings.max_text_bytes();
+        ItemText::new(self.submission.min_version, route.job.single_version, max_bytes)
+    }
+
+    /// Returns the start of an item's text that another process has stored, if
+    /// it may be used.
+    fn stored_text(&self, index: u32, path: &str) -> Option<ItemText> {
+        let progress = lock(&self.progress).remove(&index)?;
+        let route = self.find_route(&self.submission.host, path)?;
+        let text = self.new_text(&route).continue_from(&progress);
+        let (id, after) = (self.item(index).id.as_str(), progress.last_event_id);
+        log::info!(event = "item_resumed", step = "run", id, after, used = text.is_ok(); "another process had begun the item");
+        text.ok()
+    }
+
     /// Fetches the score of a text; `None` if the attempts are used up.
     async fn fetch_score(&self, item: &str, reward: &Reward) -> Option<SmolStr> {
         let mut attempts = RetryState::default();
--- a/crates/serve/src/job.rs
+++ b/crates/serve/src/job.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use cassia_ids::TargetId;
+use cassia_jobs::ItemProgress;
 use cassia_jobs::ItemQueue;
-use cassia_jobs::ItemResult;
 use cassia_jobs::Job;
 use cassia_jobs::PendingItem;
 use cassia_jobs::Submission;
@@ -19,6 +19,7 @@
 use crate::app::App;
 use crate::clock::unix_ms;
 use crate::item::JobContext;
+use crate::item::JobOutput;
 
 /// Until items are completed, the mean item of a job is estimated to take the
 /// time until the job is due, divided by this.
@@ -53,7 +54,8 @@
         partition: u32,
         submission: Submission,
         job: &Job,
-        tx: mpsc::UnboundedSender<ItemResult>,
+        progress: Vec<ItemProgress>,
+        tx: mpsc::UnboundedSender<JobOutput>,
     ) -> Self {
         let wanted = usize::try_from(submission.groups_wanted).unwrap_or(usize::MAX);
         let required = required_groups(&submission, wanted / 2);
@@ -69,7 +71,7 @@
         // 0 would stand for all groups. If the trainer waits for no more, the
         // other groups stay optional.
         let queue = ItemQueue::new(pending, if wanted == 0 { 0 } else { missing.max(1) });
-        let cx = Arc::new(JobContext::new(app, partition, submission, tx));
+        let cx = Arc::new(JobContext::new(app, partition, submission, progress, tx));
         Self { cx, queue, requeued: Vec::new(), engine_by_group: HashMap::new() }
     }
 
--- a/crates/serve/src/job_log.rs
+++ b/crates/serve/src/job_log.rs
@@ -13,6 +13,7 @@
 use cassia_clients::StoreError;
 use cassia_clients::StoreErrorKind;
 use cassia_ids::Offset;
+use cassia_jobs::ItemProgress;
 use cassia_jobs::ItemResult;
 use cassia_jobs::Job;
 use cassia_jobs::JobRecord;
@@ -20,6 +21,9 @@
 use cassia_jobs::ResultRef;
 use cassia_jobs::Submission;
 use cassia_jobs::partition;
+use futures::StreamExt;
+use futures::future::ready;
+use futures::stream;
 
 use crate::partition_log::PartitionLog;
 
@@ -28,6 +32,10 @@
 /// Assumed size of the first of several results, in bytes. If it is larger, a
 /// read may return one result less.
 const FIRST_RESULT_BYTES: u64 = 4 << 10;
+/// Size of a read of one record, in bytes; a larger record is returned whole.
+const MIN_READ_BYTES: u64 = 1 << 10;
+/// Number of items whose progress is read at once.
+const MAX_PROGRESS_READS: usize = 16;
 
 /// The jobs of all partitions, as far as they were read.
 #[derive(Debug)]
@@ -118,6 +126,26 @@
         Submission::from_parts(&data).map_err(|e| unreadable(&e.to_string()))
     }
 
+    /// Reads the progress of a job's items. An item whose record can't be read
+    /// starts from the beginning.
+    pub(crate) async fn progress(
+        &self,
+        partition: u32,
+        job: &Job,
+        deadline: Instant,
+    ) -> Vec<ItemProgress> {
+        let read = |offset: Offset| async move {
+            let read = self.partition(partition).records(offset, MIN_READ_BYTES, deadline).await;
+            let record = read.ok()?.records.into_iter().next()?;
+            match JobRecord::decode(record) {
+                JobRecord::Progress(progress) => Some(progress),
+                _ => None,
+            }
+        };
+        let reads = stream::iter(job.progress.values().copied().map(read));
+        reads.buffer_unordered(MAX_PROGRESS_READS).filter_map(ready).collect().await
+    }
+
     /// Reads the given results: at least the first one, and those that the
     /// same read returns.
     pub(crate) async fn results(
--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use cassia_clients::StoreErrorKind;
-use cassia_jobs::ItemResult;
 use cassia_jobs::Job;
 use cassia_jobs::JobId;
 use cassia_jobs::Submission;
@@ -17,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::app::App;
+use crate::item::JobOutput;
 use crate::job::JobOutcome;
 use crate::job::JobRun;
 
@@ -176,7 +176,7 @@
     app: &Arc<App>,
     partition: u32,
     jobs: &mut HashMap<JobId, RunningJob>,
-    tx: &mpsc::UnboundedSender<ItemResult>,
+    tx: &mpsc::UnboundedSender<JobOutput>,
 ) {
     let open: Vec<_> = {
         let table = app.job_log.table(partition);
@@ -188,7 +188,9 @@
         match app.job_log.submission(partition, (&job).into(), deadline).await {
             Ok(submission) => {
                 log_job_started(app, &submission, &job);
-                let run = JobRun::new(Arc::clone(app), partition, submission, &job, tx.clone());
+                let progress = app.job_log.progress(partition, &job, deadline).await;
+                let (app, tx) = (Arc::clone(app), tx.clone());
+                let run = JobRun::new(app, partition, submission, &job, progress, tx);
                 jobs.insert(id, RunningJob { task: Some(tokio::spawn(run.run())) });
             }
             // The job stays open in the table, so the next round tries again.
@@ -210,35 +212,49 @@
     log::info!(event = "job_begun", step = "run", id, model, min_version, items, listed = results, groups_wanted, due_ms, offset = job.first_offset; "job started");
 }
 
-/// Appends the results received from `rx` until all senders are gone.
-async fn append_results(
-    app: Arc<App>,
-    partition: u32,
-    mut rx: mpsc::UnboundedReceiver<ItemResult>,
-) {
+/// Appends the results and the progress received from `rx` until all senders are gone.
+async fn append_results(app: Arc<App>, partition: u32, mut rx: mpsc::UnboundedReceiver<JobOutput>) {
     while let Some(first) = rx.recv().await {
         sleep(BATCH_DELAY).await;
-        let mut records = vec![first.to_record()];
-        let mut size = records[0].len();
-        while size < FULL_APPEND_BYTES {
-            let Ok(result) = rx.try_recv() else { break };
-            let record = result.to_record();
-            size += record.len();
-            records.push(record);
+        let mut batch = Batch::default();
+        batch.add(&first);
+        while batch.bytes < FULL_APPEND_BYTES {
+            let Ok(output) = rx.try_recv() else { break };
+            batch.add(&output);
         }
-        append(&app, partition, &records).await;
+        append(&app, partition, &batch).await;
+    }
+}
+
+/// The records of one append.
+#[derive(Debug, Default)]
+struct Batch {
+    records: Vec<Bytes>,
+    bytes: usize,
+    /// Number of results among the records.
+    results: usize,
+}
+
+impl Batch {
+    fn add(&mut self, output: &JobOutput) {
+        let record = output.to_record();
+        self.bytes += record.len();
+        self.records.push(record);
+        self.results += usize::from(matches!(output, JobOutput::Result(_)));
     }
 }
 
 /// Appends records until the store confirms it. If a confirmation is lost,
 /// they are appended twice; the job table ignores duplicate results.
-async fn append(app: &App, partition: u32, records: &[Bytes]) {
+async fn append(app: &App, partition: u32, batch: &Batch) {
     loop {
         let deadline = Instant::now() + APPEND_TIMEOUT;
-        match app.job_log.append(partition, records, deadline).await {
+        match app.job_log.append(partition, &batch.records, deadline).await {
             Ok(offset) => {
-                let count = records.len();
-                log::info!(event = "results_listed", step = "list", partition, offset, count; "results appended");
+                let (count, records) = (batch.results, batch.records.len());
+                if count > 0 {
+                    log::info!(event = "results_listed", step = "list", partition, offset, count, records; "results appended");
+                }
                 return;
             }
             Err(e) => {
--- a/crates/trials/tests/platform_recovery.rs
+++ b/crates/trials/tests/platform_recovery.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use bytes::Bytes;
+use cassia_jobs::JobRecord;
 use cassia_standin::Proxy;
 use cassia_trials::PARTITIONS;
 use cassia_trials::PlatformEnv;
@@ -13,6 +14,8 @@
 use cassia_trials::assert_complete;
 use cassia_trials::batch_job;
 use cassia_trials::eventually;
+use cassia_trials::split_owner;
+use cassia_trials::start_processes;
 use rstest::rstest;
 use tokio::time::sleep;
 
@@ -125,3 +128,34 @@
     assert_eq!(env.all_results(&second, "j").await.as_ref(), Some(&results));
     Ok(())
 }
+
+/// A long item is not generated from its start again when the process that
+/// runs it ends.
+#[tokio::test]
+async fn an_item_goes_on_where_its_last_process_stored_it() -> anyhow::Result<()> {
+    const EVENT_TIME: Duration = Duration::from_millis(500);
+    const RENEWAL: Duration = Duration::from_millis(800);
+    let env = PlatformEnv::start().await?.with_targets(2, 2).await?;
+    let processes = start_processes(&env, 2).await?;
+    let (mut owner, others) = split_owner(&env, "j", processes);
+    // The first process has run all partitions; it notices at its next renewal
+    // that it lost some.
+    sleep(RENEWAL).await;
+    env.targets[..2].iter().for_each(|engine| engine.set_delay(EVENT_TIME));
+    assert_eq!(env.submit_job(&others[0], "j", &batch_job("j", 4, 1)).await.status, 202);
+    let partition = cassia_jobs::partition("j", PARTITIONS);
+    let progress_count = || {
+        let records = env.store.records(cassia_jobs::JOBS_TOPIC, partition).into_iter();
+        let is_progress = |record| matches!(JobRecord::decode(record), JobRecord::Progress(_));
+        records.map(is_progress).filter(|is| *is).count()
+    };
+    let stored = || async { progress_count() >= 4 };
+    anyhow::ensure!(eventually(stored).await, "no progress is stored");
+    owner.kill();
+    let results = env.all_results(&others[0], "j").await.context("results")?;
+    assert_complete(&results, "j", 4);
+    let runs: Vec<_> = env.targets[..2].iter().flat_map(|engine| engine.runs()).collect();
+    assert_eq!(runs.len(), 8, "each item runs twice: {runs:?}");
+    assert_eq!(runs.iter().filter(|run| run.last_event_id.is_some()).count(), 4, "{runs:?}");
+    Ok(())
+}
