Logs: count changed weight versions over a second instead of a line each

The orders that cause them have a line at their sender. Change: such heartbeats are counted and logged once a second; new, leaving, moved and removed targets keep a line each.

--- a/crates/route/src/registry.rs
+++ b/crates/route/src/registry.rs
@@ -61,12 +61,14 @@
     presence: Presence,
 }
 
-/// Effect of a heartbeat or removal.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Effect of a heartbeat or removal. Of several, the greatest counts.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Update {
     /// No change: the heartbeat is old, or only its sequence number differs.
     Unchanged,
-    /// A change that matters to the choice of a target.
+    /// Only the weight versions that the target has loaded changed.
+    VersionsChanged,
+    /// Another change that matters to the choice of a target.
     Changed,
 }
 
@@ -96,9 +98,16 @@
         }
         heartbeat.leaving |= old.leaving && old.started_ms == heartbeat.started_ms;
         let was_present = matches!(entry.presence, Presence::Present);
-        let same = Heartbeat { seq: old.seq, ..heartbeat.clone() } == *old;
+        let has_same_versions = heartbeat.versions == old.versions;
+        let expected =
+            Heartbeat { seq: heartbeat.seq, versions: heartbeat.versions.clone(), ..old.clone() };
+        let has_same_rest = heartbeat == expected;
         *entry = Entry { heartbeat, presence: Presence::Present };
-        if was_present && same { Update::Unchanged } else { Update::Changed }
+        match (was_present, has_same_versions, has_same_rest) {
+            (true, true, true) => Update::Unchanged,
+            (true, false, true) => Update::VersionsChanged,
+            _ => Update::Changed,
+        }
     }
 
     /// Marks a target as removed because its entry was removed from the list.
@@ -120,10 +129,7 @@
         let ids: BTreeSet<_> = ids.iter().collect();
         let missing: Vec<_> = self.entries.keys().filter(|id| !ids.contains(id)).cloned().collect();
         let changes = missing.iter().map(|id| self.remove(id, now));
-        if changes.filter(|c| *c == Update::Changed).count() > 0 {
-            return Update::Changed;
-        }
-        Update::Unchanged
+        changes.max().unwrap_or(Update::Unchanged)
     }
 
     /// Starts the grace period for removals, after an outage of the list.
--- a/crates/route/tests/registry.rs
+++ b/crates/route/tests/registry.rs
@@ -72,6 +72,20 @@
     assert_eq!(registry.apply(heartbeat(started, seq, false)), expected);
 }
 
+#[test]
+fn a_heartbeat_with_other_versions_only_changes_the_versions() {
+    let mut registry = TargetRegistry::default();
+    registry.apply(heartbeat(1, 1, false));
+    let loaded = |seq, leaving| Heartbeat {
+        versions: vec![("m".into(), seq)],
+        ..heartbeat(1, seq, leaving)
+    };
+    assert_eq!(registry.apply(loaded(2, false)), Update::VersionsChanged);
+    assert_eq!(registry.apply(loaded(3, true)), Update::Changed, "it is leaving as well");
+    let present = registry.present(Instant::now()).next().expect("the target is present");
+    assert_eq!(present.versions, [("m".into(), 3)]);
+}
+
 #[test]
 fn an_old_heartbeat_does_not_add_back_a_removed_target() {
     let now = Instant::now();
--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -23,6 +23,8 @@
 const READ_INTERVAL: Duration = Duration::from_millis(300);
 /// How long a read of the changes may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
+/// How often the number of changed weight versions is logged.
+const VERSION_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum timeout of reading the snapshot, which grows while reads fail.
 const MAX_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -35,6 +37,10 @@
     store_failed: bool,
     /// Backoff and timeout of the snapshot, which all hosts may be reading.
     backoff: ReadBackoff,
+    /// Number of heartbeats with other weight versions since they were logged.
+    version_changes: u32,
+    /// When to log their number next.
+    log_versions_at: Instant,
 }
 
 /// Runs until the process ends.
@@ -44,17 +50,20 @@
         next: None,
         store_failed: false,
         backoff: ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT),
+        version_changes: 0,
+        log_versions_at: Instant::now(),
     };
     loop {
         let has_pending_removals = controller.registry.has_pending_removals(Instant::now());
         match controller.read(&app).await {
             Ok(change) => {
-                if change == Update::Changed || has_pending_removals {
+                if change > Update::Unchanged || has_pending_removals {
                     controller.publish(&app);
                 }
             }
             Err(e) => controller.record_failure(&e),
         }
+        controller.log_versions();
         app.state
             .sleep_unless_stopping(controller.backoff.delay(READ_INTERVAL, rand::random()))
             .await;
@@ -77,8 +86,7 @@
                 self.next = Some(newest.next);
                 let ids: Vec<TargetId> = newest.records.iter().map(|r| r.key.clone()).collect();
                 let changed = self.registry.retain_only(&ids, Instant::now());
-                let applied = self.apply_all(&newest.records);
-                return Ok(if changed == Update::Changed { changed } else { applied });
+                return Ok(changed.max(self.apply_all(&newest.records)));
             }
             Some(from) => {
                 let (store, deadline) = (&app.store, Instant::now() + READ_TIMEOUT);
@@ -94,10 +102,7 @@
 
     fn apply_all(&mut self, records: &[KeyedRecord]) -> Update {
         let changes = records.iter().map(|record| self.apply(record));
-        if changes.filter(|change| *change == Update::Changed).count() > 0 {
-            return Update::Changed;
-        }
-        Update::Unchanged
+        changes.max().unwrap_or(Update::Unchanged)
     }
 
     fn apply(&mut self, record: &KeyedRecord) -> Update {
@@ -112,8 +117,12 @@
             Ok(heartbeat) => {
                 let (id, leaving, seq) = (heartbeat.id.clone(), heartbeat.leaving, heartbeat.seq);
                 let change = self.registry.apply(heartbeat);
-                if change == Update::Changed {
-                    log::info!(event = "target_changed", step = "targets", target = id.as_str(), leaving, seq; "target changed");
+                match change {
+                    Update::Unchanged => {}
+                    Update::VersionsChanged => self.version_changes += 1,
+                    Update::Changed => {
+                        log::info!(event = "target_changed", step = "targets", target = id.as_str(), leaving, seq; "target changed");
+                    }
                 }
                 change
             }
@@ -126,6 +135,18 @@
         }
     }
 
+    /// Logs how many engines have other weight versions. Every host sees each of
+    /// these changes, so they have no line each; the orders that cause them do.
+    fn log_versions(&mut self) {
+        let now = Instant::now();
+        if self.version_changes == 0 || now < self.log_versions_at {
+            return;
+        }
+        self.log_versions_at = now + VERSION_LOG_INTERVAL;
+        let count = std::mem::take(&mut self.version_changes);
+        log::info!(event = "versions_changed", step = "targets", count; "engines have other versions");
+    }
+
     /// Records a successful read, before its records are applied: after an
     /// outage of the store, the removals among them may be entries that
     /// expired in it.
