Targets' answers: a success without the id of its request is no answer

Cause: an answer's id was compared only where it had one, so the late second copy of an answer, on a connection in use again and without its id, went to the next caller. Ruled out: copies sent at once, a moment later, or with their id in place of the next answer; none reached another caller. Change: a success must name the request; else its connections are dropped and it counts as no answer. Test: trial a_second_copy_of_an_answer_reaches_no_other_caller, whose case without an id failed first ("done first" for c0-0).

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -283,7 +283,7 @@
     ) -> AttemptOutcome {
         let info = &in_flight.target().info;
         let head = decode_response_head(response.status(), response.headers());
-        if head.id.as_ref().is_some_and(|id| id != self.id) {
+        if !is_answer_to(self.id, response.status(), &head) {
             // The late response to another request: the connection can't be
             // used any more.
             self.app.client.drop_pool(info.addr);
@@ -362,6 +362,12 @@
     }
 }
 
+/// Returns whether a response answers the request with this id. A success must
+/// say so: without an id it may be the late copy of another one's.
+pub(crate) fn is_answer_to(id: &str, status: StatusCode, head: &ResponseHead) -> bool {
+    head.id.as_ref().map_or(!status.is_success(), |answered| answered == id)
+}
+
 /// Records the load that a target's response states.
 pub(crate) fn record_load(app: &App, in_flight: &InFlight, head: &ResponseHead) {
     let targets = app.state.targets.load();
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout_at;
 
 use crate::app::App;
+use crate::call::is_answer_to;
 use crate::call::log_attempt;
 use crate::call::record_load;
 
@@ -126,7 +127,7 @@
 
     async fn read_response(&self, response: Response<Incoming>, text: &mut ItemText) -> RunOutcome {
         let head = decode_response_head(response.status(), response.headers());
-        if head.id.as_ref().is_some_and(|id| *id != self.item.id) {
+        if !is_answer_to(&self.item.id, response.status(), &head) {
             self.app.client.drop_pool(self.engine.target().info.addr);
             self.record_failure("response to another request");
             return RunOutcome::Interrupted;
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -26,6 +26,7 @@
 use hyper::body::Incoming;
 
 use crate::app::App;
+use crate::call::is_answer_to;
 use crate::call::record_load;
 use crate::response::Body;
 use crate::response::Refusal;
@@ -78,7 +79,7 @@
             Ok(response) => {
                 let response_head = decode_response_head(response.status(), response.headers());
                 record_load(app, &in_flight, &response_head);
-                if response_head.id.as_ref().is_some_and(|id| *id != head.id) {
+                if !is_answer_to(&head.id, response.status(), &response_head) {
                     app.client.drop_pool(info.addr);
                     return Refusal::OutcomeUnknown.response("stream");
                 }
--- a/crates/trials/tests/platform.rs
+++ b/crates/trials/tests/platform.rs
@@ -6,7 +6,9 @@
 
 use anyhow::Context;
 use bytes::Bytes;
+use cassia_standin::RepeatingTarget;
 use cassia_standin::ResponseFault;
+use cassia_standin::SecondCopy;
 use cassia_standin::TargetFaults;
 use cassia_standin::TargetSpec;
 use cassia_trials::PlatformEnv;
@@ -265,3 +267,43 @@
     anyhow::ensure!(eventually(serves).await, "other requests are served");
     Ok(())
 }
+
+/// A target sends a second copy of an answer on a connection that may be in use
+/// again. The next caller must not take it for its own answer.
+#[rstest]
+#[case::at_once(SecondCopy::AtOnce)]
+#[case::late(SecondCopy::Late)]
+#[case::in_place_of_the_next(SecondCopy::InPlaceOfNext)]
+#[case::without_its_id(SecondCopy::WithoutId)]
+#[tokio::test]
+async fn a_second_copy_of_an_answer_reaches_no_other_caller(
+    #[case] kind: SecondCopy,
+) -> anyhow::Result<()> {
+    const CALLERS: usize = 8;
+    const REQUESTS: usize = 30;
+    let env = PlatformEnv::start().await?;
+    let target = RepeatingTarget::start(kind).await?;
+    env.store.put("keyed.servers", "s0", Some(&target.heartbeat("intake")));
+    let process = env.start_process("h0").await?;
+    wait_until_serving(&env, &process).await?;
+    let caller = |caller: usize| {
+        let (env, process) = (&env, &process);
+        async move {
+            let mut answered = 0;
+            for n in 0..REQUESTS {
+                let path = if n % 2 == 0 { "/quote/1" } else { "/once/1" };
+                let id = format!("c{caller}-{n}");
+                let response = env.request(process, path, &id).await;
+                if response.status == 200 {
+                    assert_eq!(response.body, format!("done {id}"), "another caller's answer");
+                    answered += 1;
+                }
+            }
+            answered
+        }
+    };
+    let answered = join_all((0..CALLERS).map(caller)).await;
+    assert!(answered.iter().all(|answered| *answered > 0), "{answered:?}");
+    assert!(target.copy_count() > 0, "no second copy was sent");
+    Ok(())
+}
