--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -56,7 +56,9 @@
     let mut jobs: HashMap<JobId, RunningJob> = HashMap::new();
     let mut snapshots = SnapshotWriter::new(Arc::clone(&app), partition);
     // From here on every record is read as it is appended.
-    read_from_snapshot(&app, partition).await;
+    if read_from_snapshot(&app, partition).await {
+        start_jobs(&app, partition, &mut jobs, &tx).await;
+    }
     while is_owned(&app, partition) || jobs.values().any(RunningJob::is_running) {
         let deadline = Instant::now() + LONG_POLL + READ_TIMEOUT;
         let read = app.job_log.partition(partition).read_next(LONG_POLL, deadline);
@@ -88,19 +90,20 @@
     }
 }
 
-/// Reads the partition to its end, from the newest snapshot on, unless this
-/// process loses the partition.
-async fn read_from_snapshot(app: &App, partition: u32) {
+/// Reads the partition to its end, from the newest snapshot on. Returns false
+/// if this process loses the partition before.
+async fn read_from_snapshot(app: &App, partition: u32) -> bool {
     while is_owned(app, partition) {
         let deadline = Instant::now() + FIRST_READ_TIMEOUT;
         let read = tokio::select! {
             read = app.job_log.read_to_end(partition, deadline) => read,
-            () = wait_until_lost(app, partition) => return,
+            () = wait_until_lost(app, partition) => return false,
         };
-        let Err(e) = read else { return };
+        let Err(e) = read else { return true };
         log::debug!(event = "store_away", step = e.step, partition; "{e}");
         sleep(RETRY_DELAY).await;
     }
+    false
 }
 
 /// Writes the snapshots of a partition, one at a time.
--- a/crates/trials/src/platform_env.rs
+++ b/crates/trials/src/platform_env.rs
@@ -153,6 +153,15 @@
         self.start_process_with_store(host, self.store.addr()).await
     }
 
+    /// Starts a process without waiting until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be started.
+    pub fn spawn_process(&self, host: &str) -> io::Result<Process> {
+        Process::start_serve(host, self.store.addr())
+    }
+
     /// Starts a process that reaches the store at this address, and waits until
     /// it is ready.
     ///
--- a/crates/trials/tests/platform_jobs.rs
+++ b/crates/trials/tests/platform_jobs.rs
@@ -223,3 +223,38 @@
     assert_complete(&env.all_results(&others[0], "j").await.context("results")?, "j", ITEMS);
     Ok(())
 }
+
+/// A process that becomes the owner of a partition starts its open jobs as soon
+/// as it has read it, though no further record arrives.
+#[tokio::test]
+async fn a_new_owner_starts_open_jobs_at_once() -> anyhow::Result<()> {
+    /// Shorter than a long poll of the partition.
+    const LIMIT: Duration = Duration::from_millis(700);
+    /// On a busy machine a single start may take longer.
+    const TRIES: usize = 4;
+    let env = PlatformEnv::start().await?.with_targets(1, 1).await?;
+    let engine = &env.targets[0];
+    let mut times = Vec::new();
+    for n in 0..TRIES {
+        let job = format!("j{n}");
+        {
+            let first = env.start_process("h0").await?;
+            // The items wait until the second process has taken over.
+            engine.set_faults(TargetFaults { silent: true, ..TargetFaults::default() });
+            assert_eq!(env.submit_job(&first, &job, &batch_job(&job, 4, 1)).await.status, 202);
+        }
+        engine.set_faults(TargetFaults::default());
+        let partition = cassia_jobs::partition(&job, 2);
+        let second = env.spawn_process("h1")?;
+        let is_owner = || async { env.store.owner("runners", partition).as_deref() == Some("h1") };
+        anyhow::ensure!(eventually(is_owner).await, "the process owns nothing");
+        let owned = Instant::now();
+        let started = || async { env.run_count(&format!("{job}-0")) > 0 };
+        anyhow::ensure!(eventually(started).await, "the job never started");
+        times.push(owned.elapsed());
+        let results = env.all_results(&second, &job).await.context("results")?;
+        assert_complete(&results, &job, 4);
+    }
+    assert!(times.iter().any(|time| *time < LIMIT), "{times:?}");
+    Ok(())
+}
