Jobs: the owners of eight partitions run the jobs of all

Change: partition p is run by the owner of partition p mod 8, so connections grow with eight hosts and not with the partitions, and the next job finds them open. Weighed: fewer members of the group (they would have to agree who), a pool that opens ahead (as many). Price: the loss of one host concerns an eighth of the jobs, not a 24th.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -67,6 +67,20 @@
 /// The only key in each partition of `SNAPSHOT_TOPIC`.
 pub const SNAPSHOT_KEY: &str = "newest";
 
+/// Number of partitions whose owners run the jobs of all partitions.
+///
+/// Each process that runs jobs opens connections to all engines of their
+/// models. So the number of connections before an engine must not grow with
+/// the partitions, and a process that runs jobs often finds its connections
+/// open.
+const LEAD_PARTITIONS: u32 = 8;
+
+/// Returns the partition whose owner runs the jobs of a partition.
+#[must_use]
+pub fn lead_partition(partition: u32, partition_count: u32) -> u32 {
+    partition % partition_count.clamp(1, LEAD_PARTITIONS)
+}
+
 /// Returns the partition of a job.
 #[must_use]
 pub fn partition(job: &str, partition_count: u32) -> u32 {
--- a/crates/serve/src/ownership.rs
+++ b/crates/serve/src/ownership.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use cassia_jobs::JOBS_TOPIC;
+use cassia_jobs::lead_partition;
 use tokio::task::JoinHandle;
 
 use crate::app::App;
@@ -35,7 +36,11 @@
         match joined {
             Ok(assignment) => {
                 generation = assignment.generation;
-                let owned = assignment.partitions.into_iter().collect();
+                let count = app.settings.store_parts;
+                let is_run_here = |partition: &u32| {
+                    assignment.partitions.contains(&lead_partition(*partition, count))
+                };
+                let owned = (0..count).filter(is_run_here).collect();
                 set_owned(&app, &mut runners, owned, generation);
             }
             // The partitions are kept until the store reassigns them. If two
