Hosts that have lost the store are not ready and refuse reads at once

Ruled out: items (done), their listing by the new owners. Change: a host that has not reached the store for a second says so to the load balancer, and refuses reads of jobs at once.

Test: trial a_host_without_the_store_is_not_ready.

--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -170,7 +170,10 @@
 }
 
 fn probe(app: &App, req: &Request<Incoming>) -> Response<Body> {
-    let ready = app.state.routes.load().is_some() && !app.state.is_stopping();
+    // A host that has lost the store serves plain requests only. Others, in
+    // other data centres if need be, serve the callers better meanwhile.
+    let state = &app.state;
+    let ready = state.routes.load().is_some() && !state.is_stopping() && !state.has_lost_store();
     let status = match (req.uri().path(), ready) {
         (READY_PATH, true) => StatusCode::OK,
         (READY_PATH, false) => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/serve/src/job_calls.rs
+++ b/crates/serve/src/job_calls.rs
@@ -7,6 +7,7 @@
 use cassia_adapter::JobCall;
 use cassia_adapter::encode_results;
 use cassia_clients::StoreError;
+use cassia_clients::StoreErrorKind;
 use cassia_jobs::JobRecord;
 use cassia_jobs::ResultRef;
 use http::Response;
@@ -69,6 +70,7 @@
     after: usize,
     wait: Duration,
 ) -> Result<Response<Body>, StoreError> {
+    check_store(app)?;
     let partition = app.job_log.partition_of(job);
     let wait_until = Instant::now() + wait;
     let (read_until, deadline) = (wait_until + READ_PATIENCE, wait_until + CALLER_PATIENCE);
@@ -111,6 +113,7 @@
 }
 
 async fn read_body(app: &App, job: &str, item: &str) -> Result<Response<Body>, StoreError> {
+    check_store(app)?;
     let partition = app.job_log.partition_of(job);
     let now = Instant::now();
     let (read_until, deadline) = (now + READ_PATIENCE, now + CALLER_PATIENCE);
@@ -130,6 +133,16 @@
     ))
 }
 
+/// Refuses a read at once where the store is known to be out of reach: another
+/// host may answer it.
+fn check_store(app: &App) -> Result<(), StoreError> {
+    if app.state.has_lost_store() {
+        let (kind, detail) = (StoreErrorKind::NotDone, "this host has lost the store".to_owned());
+        return Err(StoreError { step: "read", kind, detail });
+    }
+    Ok(())
+}
+
 async fn end_job(app: &App, job: &str) -> Result<Response<Body>, StoreError> {
     let partition = app.job_log.partition_of(job);
     let until = Instant::now() + END_RETRY_LIMIT;
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -4,6 +4,7 @@
 //! | --- | --- | --- |
 //! | `routes`, `wanted` | the configuration controller | all |
 //! | `targets`, `versions` | the targets controller, and requests by their outcomes | all |
+//! | `store_lost_at` | the targets controller | calls about batch jobs, readiness |
 //! | `owned` | the ownership controller | the runners, the weights controller |
 //! | `stopping` | the main task | all |
 
@@ -32,6 +33,9 @@
 
 use crate::flags::ServeSettings;
 
+/// How long the store may be out of reach before a host counts as cut off.
+const STORE_LOSS_LIMIT: Duration = Duration::from_secs(1);
+
 /// The weight versions that one incarnation of an engine is known to have.
 #[derive(Clone, Debug, Default)]
 struct EngineVersions {
@@ -58,6 +62,8 @@
     pub(crate) owned: watch::Sender<BTreeSet<u32>>,
     /// Whether a planned stop has begun.
     pub(crate) stopping: watch::Sender<bool>,
+    /// When this process lost the store; `None` while it can read it.
+    pub(crate) store_lost_at: ArcSwapOption<Instant>,
     /// Notified when a slot of an engine may have become free.
     pub(crate) slot_freed: Notify,
     versions: Mutex<HashMap<TargetId, EngineVersions>>,
@@ -75,6 +81,7 @@
             heartbeats: ArcSwap::default(),
             owned: watch::Sender::new(BTreeSet::new()),
             stopping: watch::Sender::new(false),
+            store_lost_at: ArcSwapOption::empty(),
             slot_freed: Notify::new(),
             versions: Mutex::default(),
         }
@@ -89,6 +96,13 @@
         *self.stopping.borrow()
     }
 
+    /// Returns whether this process has not reached the store for a while. It
+    /// can answer nothing about batch jobs then.
+    pub(crate) fn has_lost_store(&self) -> bool {
+        let lost_at = self.store_lost_at.load();
+        lost_at.as_ref().is_some_and(|at| at.elapsed() >= STORE_LOSS_LIMIT)
+    }
+
     /// Waits until a planned stop begins.
     pub(crate) async fn wait_for_stop(&self) {
         let mut stopping = self.stopping.subscribe();
--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -55,13 +55,14 @@
     };
     loop {
         let has_pending_removals = controller.registry.has_pending_removals(Instant::now());
+        let began = Instant::now();
         match controller.read(&app).await {
             Ok(change) => {
                 if change > Update::Unchanged || has_pending_removals {
                     controller.publish(&app);
                 }
             }
-            Err(e) => controller.record_failure(&e),
+            Err(e) => controller.record_failure(&app, &e, began),
         }
         controller.log_versions();
         app.state
@@ -82,7 +83,7 @@
                     .store
                     .snapshot(PartitionRef { topic: TARGET_TOPIC, partition: 0 }, deadline)
                     .await?;
-                self.record_success();
+                self.record_success(app);
                 self.next = Some(newest.next);
                 let ids: Vec<TargetId> = newest.records.iter().map(|r| r.key.clone()).collect();
                 let changed = self.registry.retain_only(&ids, Instant::now());
@@ -92,7 +93,7 @@
                 let (store, deadline) = (&app.store, Instant::now() + READ_TIMEOUT);
                 let (next, records) =
                     store.changes(TARGET_TOPIC, from, Duration::ZERO, deadline).await?;
-                self.record_success();
+                self.record_success(app);
                 self.next = Some(next);
                 records
             }
@@ -150,21 +151,23 @@
     /// Records a successful read, before its records are applied: after an
     /// outage of the store, the removals among them may be entries that
     /// expired in it.
-    fn record_success(&mut self) {
+    fn record_success(&mut self, app: &App) {
         self.backoff.record_success();
         if std::mem::take(&mut self.store_failed) {
+            app.state.store_lost_at.store(None);
             self.registry.list_reconnected(Instant::now());
             log::info!(event = "store_back", step = "targets"; "the store can be read again");
         }
     }
 
-    fn record_failure(&mut self, e: &StoreError) {
+    fn record_failure(&mut self, app: &App, e: &StoreError, began: Instant) {
         if matches!(e.kind, StoreErrorKind::Expired { .. }) {
             self.next = None;
         } else {
             self.backoff.record_failure();
         }
         if !std::mem::replace(&mut self.store_failed, true) {
+            app.state.store_lost_at.store(Some(Arc::new(began)));
             log::warn!(event = "store_away", step = e.step; "{e}");
         }
     }
--- a/crates/trials/tests/platform_recovery.rs
+++ b/crates/trials/tests/platform_recovery.rs
@@ -16,6 +16,7 @@
 use cassia_trials::eventually;
 use cassia_trials::split_owner;
 use cassia_trials::start_processes;
+use cassia_trials::wait_until_serving;
 use rstest::rstest;
 use tokio::time::sleep;
 
@@ -159,3 +160,30 @@
     assert_eq!(runs.iter().filter(|run| run.last_event_id.is_some()).count(), 4, "{runs:?}");
     Ok(())
 }
+
+/// A host that is cut off from the store leaves the callers to others: the load
+/// balancer sees it, and a call about a job is refused at once instead of at
+/// the end of the caller's patience. Plain requests are still served.
+#[tokio::test]
+async fn a_host_without_the_store_is_not_ready() -> anyhow::Result<()> {
+    /// How long a refusal may take; a host that tries the store needs a second.
+    const AT_ONCE: Duration = Duration::from_millis(500);
+    let env = PlatformEnv::start().await?.with_targets(1, 2).await?;
+    let link = Proxy::start(env.store.addr()).await?;
+    let process = env.start_process_with_store("h1", link.addr()).await?;
+    wait_until_serving(&env, &process).await?;
+    assert_eq!(env.submit_job(&process, "j", &batch_job("j", 4, 1)).await.status, 202);
+    assert!(env.all_results(&process, "j").await.is_some());
+    link.set_blocked(true);
+    let not_ready = || async { !env.is_ready(&process).await };
+    anyhow::ensure!(eventually(not_ready).await, "it is still ready");
+    let asked = Instant::now();
+    assert_eq!(env.results(&process, "j", 0).await.status, 503);
+    assert!(asked.elapsed() < AT_ONCE, "{:?}", asked.elapsed());
+    assert_eq!(env.request(&process, "/quote/1", "r1").await.status, 200);
+    link.set_blocked(false);
+    let ready = || async { env.is_ready(&process).await };
+    anyhow::ensure!(eventually(ready).await, "it is not ready again");
+    assert!(env.all_results(&process, "j").await.is_some());
+    Ok(())
+}
