Stop: a planned stop ends by its limit in an outage of the store

The platform kills such a process after its grace time. Change: both waits end at the stop limit, with a line cut_off; the jobs go on elsewhere.

--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -27,6 +27,7 @@
 
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Instant;
 
 use bpaf::Parser;
 use cassia_adapter::HttpStore;
@@ -36,6 +37,7 @@
 use cassia_node::set_log_host;
 use cassia_node::start_logging;
 use tokio::runtime::Builder;
+use tokio::time::timeout_at;
 
 use crate::app::App;
 use crate::flags::ServeSettings;
@@ -69,9 +71,15 @@
     let ownership = tokio::spawn(ownership::run(Arc::clone(&app)));
     let weights = tokio::spawn(weights::run(Arc::clone(&app)));
     ingress::wait_for_stop_signal(&app).await?;
+    let deadline = Instant::now() + settings.stop_limit();
     server.stop(settings.stop_limit()).await;
-    for task in [ownership, weights] {
-        task.await?;
+    for (task, step) in [(ownership, "runners"), (weights, "orders")] {
+        // In an outage of the store, results and the lease can't be handed on.
+        // The jobs go on elsewhere without them, and the lease expires.
+        match timeout_at(deadline.into(), task).await {
+            Ok(ended) => ended?,
+            Err(_) => log::warn!(event = "cut_off", step; "aborted at the stop limit"),
+        }
     }
     log::info!(event = "stopped", step = "stop"; "stopped");
     log::logger().flush();
--- a/crates/trials/tests/platform_jobs.rs
+++ b/crates/trials/tests/platform_jobs.rs
@@ -258,3 +258,31 @@
     assert!(times.iter().any(|time| *time < LIMIT), "{times:?}");
     Ok(())
 }
+
+/// A planned stop in an outage of the store can't hand on the results of its
+/// items. It ends by its limit all the same, before the platform kills it.
+#[rstest]
+#[case::is_busy(StoreFaults { busy: true, ..StoreFaults::default() })]
+#[case::hangs(StoreFaults { hang: true, ..StoreFaults::default() })]
+#[tokio::test]
+async fn a_planned_stop_ends_by_its_limit_without_the_store(
+    #[case] faults: StoreFaults,
+) -> anyhow::Result<()> {
+    /// The stop limit of a process, and slack for a loaded machine.
+    const LIMIT: Duration = Duration::from_secs(10);
+    let env = PlatformEnv::start().await?.with_targets(1, 1).await?;
+    env.targets[0].set_delay(Duration::from_millis(200));
+    let processes = start_processes(&env, 1).await?;
+    let (_, mut process) = processes.into_iter().next().context("a process")?;
+    assert_eq!(env.submit_job(&process, "j", &batch_job("j", 16, 1)).await.status, 202);
+    let running = || async { !env.targets[0].running().is_empty() };
+    anyhow::ensure!(eventually(running).await, "no item is running");
+    env.store.set_faults(faults);
+    process.terminate();
+    let status = process.wait(LIMIT).await.context("the process is still running")?;
+    assert!(status.success(), "{status:?}");
+    env.store.set_faults(StoreFaults::default());
+    let second = env.start_process("h9").await?;
+    assert_complete(&env.all_results(&second, "j").await.context("results")?, "j", 16);
+    Ok(())
+}
