--- a/crates/jobs/src/read_plan.rs
+++ b/crates/jobs/src/read_plan.rs
@@ -54,7 +54,8 @@
 #[derive(Clone, Debug)]
 pub struct ReadPlan {
     page_kb: u32,
-    timeout: Duration,
+    /// Number of reads that timed out since the end was last reached.
+    timeouts: u32,
     /// Until when the table is recent enough to go on from; `None` if the
     /// newest snapshot comes first.
     recent_until: Option<Instant>,
@@ -62,7 +63,7 @@
 
 impl Default for ReadPlan {
     fn default() -> Self {
-        Self { page_kb: MAX_PAGE_KB, timeout: FIRST_TIMEOUT, recent_until: None }
+        Self { page_kb: MAX_PAGE_KB, timeouts: 0, recent_until: None }
     }
 }
 
@@ -79,7 +80,7 @@
     /// Returns how long the next read may take.
     #[must_use]
     pub fn timeout(&self) -> Duration {
-        self.timeout
+        FIRST_TIMEOUT.saturating_mul(1 << self.timeouts.min(u32::BITS - 1)).min(MAX_TIMEOUT)
     }
 
     /// Records the outcome of a read.
@@ -90,12 +91,12 @@
                 self.page_kb = (self.page_kb * 2).min(MAX_PAGE_KB);
                 self.recent_until = Some(now + SNAPSHOT_AGE);
                 if at_end {
-                    self.timeout = FIRST_TIMEOUT;
+                    self.timeouts = 0;
                 }
             }
             ReadOutcome::TimedOut => {
                 self.page_kb = (self.page_kb / 2).max(MIN_PAGE_KB);
-                self.timeout = (self.timeout * 2).min(MAX_TIMEOUT);
+                self.timeouts = self.timeouts.saturating_add(1);
             }
             ReadOutcome::Refused => {}
         }
