--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -291,10 +291,7 @@
                 None => self.wait_for_slot(index, None, &failed).await?,
             };
             let engine = slot.engine.as_ref()?;
-            let max_bytes = self.app.settings.max_text_bytes();
-            let new_text =
-                || ItemText::new(self.submission.min_version, route.job.single_version, max_bytes);
-            let so_far = text.get_or_insert_with(new_text);
+            let so_far = text.get_or_insert_with(|| self.new_text(&route));
             let host = &self.submission.host;
             let has_faster_slot = || {
                 let own = engine.target();
--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -215,7 +215,8 @@
     log::info!(event = "job_begun", step = "run", id, model, min_version, items, listed = results, groups_wanted, due_ms, offset = job.first_offset; "job started");
 }
 
-/// Appends the results and the progress received from `rx` until all senders are gone.
+/// Appends the results and the progress received from `rx` until all senders
+/// are gone.
 async fn append_results(app: Arc<App>, partition: u32, mut rx: mpsc::UnboundedReceiver<JobOutput>) {
     while let Some(first) = rx.recv().await {
         sleep(BATCH_DELAY).await;
