--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -4,8 +4,8 @@
 //! listed once its record is in the log. The order of the records determines
 //! the position of each result, so every process that applies the same records
 //! knows the same positions without further coordination. This crate holds the
-//! record encoding and the state derived from the records; it does not read
-//! the log or run items.
+//! record encoding, the state derived from the records, its snapshots and the
+//! order of the reads; it does not read the log or run items.
 //!
 //! ```
 //! use cassia_jobs::{JobRecord, JobTable};
