--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -21,11 +21,15 @@
 /// How often the heartbeats are read. A read returns those of all targets;
 /// with long polling there would be a read for every single heartbeat.
 const READ_INTERVAL: Duration = Duration::from_millis(300);
-/// How long a read of the changes may take.
+/// Time since the last read after which a snapshot is read rather than the
+/// changes. Targets repeat their heartbeats, so the changes of a longer time are
+/// larger than the snapshot.
+const MAX_CHANGES_AGE: Duration = Duration::from_secs(2);
+/// Timeout of a read after none failed.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 /// How often the number of changed weight versions is logged.
 const VERSION_LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum timeout of reading the snapshot, which grows while reads fail.
+/// Maximum timeout of a read, which grows while reads fail.
 const MAX_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
 #[derive(Debug)]
@@ -33,9 +37,11 @@
     registry: TargetRegistry,
     /// Offset from which to read on; `None` to read a snapshot.
     next: Option<Offset>,
+    /// Until when the changes from there on are read rather than a snapshot.
+    recent_until: Instant,
     /// Whether the last read failed.
     store_failed: bool,
-    /// Backoff and timeout of the snapshot, which all hosts may be reading.
+    /// Backoff and timeout of the reads, which all hosts may be making.
     backoff: ReadBackoff,
     /// Number of heartbeats with other weight versions since they were logged.
     version_changes: u32,
@@ -48,6 +54,7 @@
     let mut controller = TargetsController {
         registry: TargetRegistry::default(),
         next: None,
+        recent_until: Instant::now(),
         store_failed: false,
         backoff: ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT),
         version_changes: 0,
@@ -76,7 +83,8 @@
 
 impl TargetsController {
     async fn read(&mut self, app: &App) -> Result<Update, StoreError> {
-        let records = match self.next {
+        let next = self.next.filter(|_| Instant::now() < self.recent_until);
+        let records = match next {
             None => {
                 let deadline = Instant::now() + self.backoff.timeout();
                 let newest = app
@@ -90,7 +98,7 @@
                 return Ok(changed.max(self.apply_all(&newest.records)));
             }
             Some(from) => {
-                let (store, deadline) = (&app.store, Instant::now() + READ_TIMEOUT);
+                let (store, deadline) = (&app.store, Instant::now() + self.backoff.timeout());
                 let (next, records) =
                     store.changes(TARGET_TOPIC, from, Duration::ZERO, deadline).await?;
                 self.record_success(app);
@@ -152,6 +160,7 @@
     /// outage of the store, the removals among them may be entries that
     /// expired in it.
     fn record_success(&mut self, app: &App) {
+        self.recent_until = Instant::now() + MAX_CHANGES_AGE;
         self.backoff.record_success();
         if std::mem::take(&mut self.store_failed) {
             app.state.store_lost_at.store(None);
