Orders: contended for by hosts that run no jobs

Change: the owners of the partitions after the leads contend for the lease where there are more than eight. Test: jobs::lead.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -81,6 +81,17 @@
     partition % partition_count.clamp(1, LEAD_PARTITIONS)
 }
 
+/// Returns the rank of the partitions, from 0, whose owners contend for the
+/// duties of one process, such as orders to engines; `None` for the others.
+///
+/// Where there are more partitions than leads, these owners run no jobs: the
+/// loss of the process that does a duty then delays no job.
+#[must_use]
+pub fn duty_rank(partition: u32, partition_count: u32) -> Option<u32> {
+    let first = if partition_count > LEAD_PARTITIONS { LEAD_PARTITIONS } else { 0 };
+    partition.checked_sub(first)
+}
+
 /// Returns the partition of a job.
 #[must_use]
 pub fn partition(job: &str, partition_count: u32) -> u32 {
--- a/crates/serve/src/ownership.rs
+++ b/crates/serve/src/ownership.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use cassia_jobs::JOBS_TOPIC;
+use cassia_jobs::duty_rank;
 use cassia_jobs::lead_partition;
 use tokio::task::JoinHandle;
 
@@ -41,6 +42,8 @@
                     assignment.partitions.contains(&lead_partition(*partition, count))
                 };
                 let owned = (0..count).filter(is_run_here).collect();
+                let ranks = assignment.partitions.iter().filter_map(|p| duty_rank(*p, count));
+                app.state.duty_rank.store(ranks.min().map(Arc::new));
                 set_owned(&app, &mut runners, owned, generation);
             }
             // The partitions are kept until the store reassigns them. If two
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -5,7 +5,8 @@
 //! | `routes`, `wanted` | the configuration controller | all |
 //! | `targets`, `versions` | the targets controller, and requests by their outcomes | all |
 //! | `store_lost_at` | the targets controller | calls about batch jobs, readiness |
-//! | `owned` | the ownership controller | the runners, the weights controller |
+//! | `owned` | the ownership controller | the runners |
+//! | `duty_rank` | the ownership controller | the weights controller |
 //! | `stopping` | the main task | all |
 
 use std::collections::BTreeMap;
@@ -58,6 +59,8 @@
     pub(crate) targets: ArcSwap<TargetSet>,
     /// The newest heartbeat of each present target.
     pub(crate) heartbeats: ArcSwap<Vec<Heartbeat>>,
+    /// The rank among the processes that contend for the lease on orders.
+    pub(crate) duty_rank: ArcSwapOption<u32>,
     /// The partitions whose jobs this process runs.
     pub(crate) owned: watch::Sender<BTreeSet<u32>>,
     /// Whether a planned stop has begun.
@@ -79,6 +82,7 @@
             wanted: ArcSwap::default(),
             targets: ArcSwap::from_pointee(TargetSet::empty(Instant::now())),
             heartbeats: ArcSwap::default(),
+            duty_rank: ArcSwapOption::empty(),
             owned: watch::Sender::new(BTreeSet::new()),
             stopping: watch::Sender::new(false),
             store_lost_at: ArcSwapOption::empty(),
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -1,8 +1,8 @@
 //! The weights controller: orders engines to load the wanted versions.
 //!
 //! One process at a time sends orders, under a lease in the log. Only the
-//! owners of the first partitions of batch jobs contend for it, so that not
-//! every process reads the lease. The holder keeps the lease even if its
+//! owners of a few partitions of batch jobs contend for it, so that not every
+//! process reads the lease. The holder keeps the lease even if its
 //! partition moves, since orders pause at each change of the holder.
 
 use std::collections::BTreeMap;
@@ -57,8 +57,8 @@
 /// Maximum time from starting an order, which begins with a report of the
 /// engine, to its arrival.
 const MAX_ORDER_TIME: Duration = Duration::from_secs(1);
-/// Number of partitions, from the first on, whose owners contend for the
-/// lease. The later the partition, the longer its owner waits before it does.
+/// Number of ranks that contend for the lease. The higher the rank, the longer
+/// a process waits before it does.
 const MAX_CONTENDERS: u32 = 2;
 /// Number of terms after which the lease stream is reset if its older records
 /// are lost.
@@ -71,7 +71,8 @@
     let mut controller = WeightsController::new(&app);
     controller.read_at_start(&app).await;
     while !app.state.is_stopping() {
-        let rank = app.state.owned.borrow().first().copied().filter(|rank| *rank < MAX_CONTENDERS);
+        let rank = app.state.duty_rank.load().as_deref().copied();
+        let rank = rank.filter(|rank| *rank < MAX_CONTENDERS);
         if let Some(rank) = rank {
             controller.lease.set_rank(rank);
         }
