--- a/crates/trials/tests/platform_recovery.rs
+++ b/crates/trials/tests/platform_recovery.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use cassia_jobs::JobRecord;
 use cassia_standin::Proxy;
+use cassia_standin::TargetSpec;
 use cassia_trials::PARTITIONS;
 use cassia_trials::PlatformEnv;
 use cassia_trials::Process;
@@ -187,3 +188,39 @@
     assert!(env.all_results(&process, "j").await.is_some());
     Ok(())
 }
+
+/// The heartbeats that were written while a host was cut off are more than its
+/// link carries in the time of one read. It must know the new targets all the
+/// same.
+#[tokio::test]
+async fn targets_are_known_soon_after_a_cut() -> anyhow::Result<()> {
+    const HEARTBEAT_BYTES: usize = 2 << 10;
+    const HEARTBEATS: usize = 3_000;
+    /// Longer than the time after which a snapshot is read.
+    const CUT: Duration = Duration::from_millis(2_500);
+    let mut env = PlatformEnv::start().await?.with_targets(0, 1).await?;
+    let link = Proxy::start(env.store.addr()).await?;
+    let process = env.start_process_with_store("h1", link.addr()).await?;
+    wait_until_serving(&env, &process).await?;
+    link.set_blocked(true);
+    for _ in 0..HEARTBEATS {
+        env.store.put_bytes("keyed.servers", "other", &[b'x'; HEARTBEAT_BYTES]);
+    }
+    env.targets[0].crash();
+    env.add_target(TargetSpec {
+        id: "s9".to_owned(),
+        service: "intake".to_owned(),
+        model: None,
+        events: 0,
+        delay: Duration::from_millis(5),
+    })
+    .await?;
+    sleep(CUT).await;
+    link.set_delay_ms(SLOW_LINK_DELAY_MS);
+    link.set_blocked(false);
+    let healed = Instant::now();
+    let served = || async { env.request(&process, "/quote/1", "r1").await.status == 200 };
+    anyhow::ensure!(eventually(served).await, "the new target is not known");
+    assert!(healed.elapsed() < RECOVERY_LIMIT, "{:?}", healed.elapsed());
+    Ok(())
+}
