--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use crate::LoadScope;
 use crate::TargetInfo;
@@ -17,6 +18,8 @@
 /// A target is clearly faster if its token time is at most this percentage of
 /// the other's.
 const FASTER_PERCENT: u64 = 82;
+/// Stands for "no limit" in `rate_limit_milli`.
+const NO_RATE_LIMIT: u64 = u64::MAX;
 /// Score of one request per slot.
 pub(crate) const SCORE_UNIT: u64 = 1_024;
 
@@ -55,6 +58,11 @@
     pub(crate) consecutive_unanswered: AtomicU32,
     /// Until when the target is avoided, because it failed or is busy.
     pub(crate) avoided_until_ms: AtomicU64,
+    /// Requests a second, in thousandths, that the target said in its last
+    /// response it accepts from all hosts together.
+    rate_limit_milli: AtomicU64,
+    /// Requests that this process started at the target, in all.
+    started: AtomicU64,
 }
 
 /// A request in flight at a target; counted there until dropped.
@@ -80,6 +88,8 @@
             consecutive_errors: AtomicU32::new(0),
             consecutive_unanswered: AtomicU32::new(0),
             avoided_until_ms: AtomicU64::new(0),
+            rate_limit_milli: AtomicU64::new(NO_RATE_LIMIT),
+            started: AtomicU64::new(0),
         }
     }
 
@@ -147,7 +157,32 @@
     pub fn start_request(self: &Arc<Self>) -> Option<InFlight> {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
         let in_flight = InFlight(Arc::clone(self));
-        self.is_open().then_some(in_flight)
+        if !self.is_open() {
+            return None;
+        }
+        self.started.fetch_add(1, Ordering::Relaxed);
+        Some(in_flight)
+    }
+
+    /// Number of requests that this process has started at the target.
+    #[must_use]
+    pub fn started(&self) -> u64 {
+        self.started.load(Ordering::Relaxed)
+    }
+
+    /// Requests a second that the target accepts from all hosts together;
+    /// `None` if its last response to this process stated no limit.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<f64> {
+        let milli = self.rate_limit_milli.load(Ordering::Relaxed);
+        (milli != NO_RATE_LIMIT).then(|| Duration::from_millis(milli).as_secs_f64())
+    }
+
+    /// Records the limit that a response of the target states. Returns whether
+    /// it differs from the one before.
+    pub fn record_rate_limit(&self, per_second: Option<f64>) -> bool {
+        let milli = per_second.map_or(NO_RATE_LIMIT, to_milli);
+        self.rate_limit_milli.swap(milli, Ordering::Relaxed) != milli
     }
 
     /// Number of other processes' requests in a scope, as of the last report.
@@ -180,6 +215,12 @@
     }
 }
 
+/// Converts a rate to thousandths of a request a second.
+fn to_milli(per_second: f64) -> u64 {
+    let rate = Duration::try_from_secs_f64(per_second).unwrap_or(Duration::MAX);
+    u64::try_from(rate.as_millis()).unwrap_or(NO_RATE_LIMIT).min(NO_RATE_LIMIT - 1)
+}
+
 impl InFlight {
     /// The target that the request is at.
     #[must_use]
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -328,8 +328,8 @@
 pub(crate) fn log_attempt(app: &App, id: &str, in_flight: &InFlight, attempt: u32) {
     let (others, age) = app.state.targets.load().last_report(in_flight.target(), Instant::now());
     let (peer, own) = (in_flight.target().info.id.as_str(), in_flight.target().in_flight());
-    let age_ms = millis(age);
-    log::info!(event = "attempt", step = "choose", id, peer, attempt, own, others, age_ms; "sent");
+    let (age_ms, limit) = (millis(age), in_flight.target().rate_limit());
+    log::info!(event = "attempt", step = "choose", id, peer, attempt, own, others, age_ms, limit; "sent");
 }
 
 /// A request that a target has not answered yet. If it is dropped after the
@@ -368,7 +368,7 @@
     head.id.as_ref().map_or(!status.is_success(), |answered| answered == id)
 }
 
-/// Records the load that a target's response states.
+/// Records the load and the limit that a target's response states.
 pub(crate) fn record_load(app: &App, in_flight: &InFlight, head: &ResponseHead) {
     let targets = app.state.targets.load();
     if let Some(load) = head.load {
@@ -376,6 +376,11 @@
     }
     if head.wrong_target {
         targets.record_failure(in_flight.target(), Instant::now());
+        return;
+    }
+    if in_flight.target().record_rate_limit(head.rate_limit) {
+        let (target, limit) = (in_flight.target().info.id.as_str(), head.rate_limit);
+        log::info!(event = "target_limit", step = "call", target, limit; "the target states another limit on requests a second");
     }
 }
 
