--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -61,6 +61,8 @@
     pub order_delay: Option<Duration>,
     /// No call gets a response.
     pub silent: bool,
+    /// Requests a second that it states to accept from all hosts together.
+    pub rate_limit: Option<f64>,
 }
 
 /// A request that ran on a target.
@@ -372,6 +374,7 @@
             ("response-stamp", format!("stamp-{echoed}")),
             ("server-load", format!("{},0,8", lock(&self.state).running.len())),
         ];
+        headers.extend(faults.rate_limit.map(|rate| ("server-limit", rate.to_string())));
         if faults.response == ResponseFault::Hang {
             return Reply::Hang;
         }
