Limited targets: hosts share the rate that a target states

Callers saw nothing; targets did: a target that stated 5 requests a second got 42 in 4 s (35 tolerated), and over 70 in a second from the reward calls of one batch job.

Cause: no host read the limit. Ruled out: that it would do for each host to keep the limit for itself (seven hosts knew it, each sent less than it), and retries (few).

Each host that is told a limit claims its demand in a keyed topic, reads the others' claims and spaces its requests by its max-min fair share; what remains goes to other targets or is refused at once as not run. Whoever is told that the limit is over tells the others.

--- a/crates/rollout/src/generate.rs
+++ b/crates/rollout/src/generate.rs
@@ -139,7 +139,7 @@
     let targets = app.node.targets.load();
     match targets.choose(&TargetQuery::new(kind), &mut rand::rng(), Instant::now()) {
         Choice::Target(target) => target.start_request(),
-        Choice::NoneOpen => None,
+        Choice::NoneOpen | Choice::RateLimited => None,
     }
 }
 
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 use smallvec::SmallVec;
 
+use crate::InFlight;
 use crate::Target;
 use crate::TargetInfo;
 use crate::TargetKind;
@@ -125,6 +126,8 @@
     Target(Arc<Target>),
     /// No target is open.
     NoneOpen,
+    /// This process has used its share of the rate of every open target.
+    RateLimited,
 }
 
 impl TargetSet {
@@ -135,6 +138,46 @@
         Self { epoch: now, by_kind: BTreeMap::new() }
     }
 
+    /// Records what a target's response states about its rate limit; returns
+    /// whether that is news.
+    pub fn record_rate_limit(
+        &self,
+        target: &Target,
+        per_second: Option<f64>,
+        now: Instant,
+    ) -> bool {
+        target.rate.record(per_second, self.millis(now))
+    }
+
+    /// Age of a target's last statement of a limit, or of the end of one.
+    #[must_use]
+    pub fn rate_limit_age(&self, target: &Target, now: Instant) -> Option<Duration> {
+        let stated_at_ms = target.rate.stated_at_ms()?;
+        Some(Duration::from_millis(self.millis(now).saturating_sub(stated_at_ms)))
+    }
+
+    /// Sets this process's share of a target's rate, in requests a second.
+    /// `phase`, from 0 to 1, is the part of the time between two requests after
+    /// which the first one may be sent.
+    pub fn set_rate_share(&self, target: &Target, per_second: f64, phase: f64, now: Instant) {
+        target.rate.set_share(per_second, phase, self.micros(now));
+    }
+
+    /// Counts a request that looks for a target, as a demand on the limited
+    /// ones of the kind.
+    pub fn record_demand(&self, kind: &TargetKind) {
+        for target in self.of_kind(kind).iter().filter(|t| t.is_rate_limited()) {
+            target.rate.count_wanted();
+        }
+    }
+
+    /// Starts a request at a chosen target; `None` if the target is no longer
+    /// open or this process has used its share of its rate.
+    #[must_use]
+    pub fn start_request(&self, target: &Arc<Target>, now: Instant) -> Option<InFlight> {
+        target.rate.take(self.micros(now)).then(|| target.start_request()).flatten()
+    }
+
     /// Builds the set for a changed list. Targets in both keep their state.
     #[must_use]
     pub fn updated<'a>(&self, infos: impl IntoIterator<Item = &'a TargetInfo>) -> Self {
@@ -321,8 +364,9 @@
         now: Instant,
     ) -> Option<Arc<Target>> {
         let now_ms = self.millis(now);
+        let micros = self.micros(now);
         let all = self.of_kind(kind);
-        let eligible = |t: &&Arc<Target>| t.is_open() && is_eligible(t);
+        let eligible = |t: &&Arc<Target>| t.accepts(micros) && is_eligible(t);
         let score = |t: &Target| t.score(LoadScope::All, now_ms);
         let is_free = |t: &&Arc<Target>| score(t) < SCORE_UNIT;
         let available = || all.iter().filter(eligible).filter(|t| !t.is_avoided(now_ms));
@@ -347,7 +391,8 @@
     pub fn choose(&self, query: &TargetQuery<'_>, rng: &mut impl Rng, now: Instant) -> Choice {
         let all = self.of_kind(query.kind);
         let now_ms = self.millis(now);
-        let is_untried = |t: &Arc<Target>| t.is_open() && !query.tried.contains(&t.info.id);
+        let micros = self.micros(now);
+        let is_untried = |t: &Arc<Target>| t.accepts(micros) && !query.tried.contains(&t.info.id);
         let is_eligible = |t: &Arc<Target>| is_untried(t) && !t.is_avoided(now_ms);
         let found = match query.policy {
             Policy::TwoChoices => two_choices(all, query, now_ms, is_eligible, rng),
@@ -357,13 +402,21 @@
         // A target that is avoided, or that this request was already sent to,
         // is still better than none.
         let found = found.or_else(|| pick_random(all, is_untried, rng));
-        let found = found.or_else(|| pick_random(all, |t| t.is_open(), rng));
-        found.map_or(Choice::NoneOpen, |t| Choice::Target(Arc::clone(t)))
+        let found = found.or_else(|| pick_random(all, |t| t.accepts(micros), rng));
+        match found {
+            Some(target) => Choice::Target(Arc::clone(target)),
+            None if all.iter().any(|t| t.is_open()) => Choice::RateLimited,
+            None => Choice::NoneOpen,
+        }
     }
 
     fn millis(&self, now: Instant) -> u64 {
         millis(now.saturating_duration_since(self.epoch))
     }
+
+    fn micros(&self, now: Instant) -> u64 {
+        u64::try_from(now.saturating_duration_since(self.epoch).as_micros()).unwrap_or(u64::MAX)
+    }
 }
 
 /// Key that identifies one incarnation of a target.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod admission;
 mod choose;
+mod rate_limit;
 mod registry;
 mod rendezvous;
 mod retry_budget;
@@ -39,6 +40,7 @@
 pub use crate::registry::Update;
 pub use crate::rendezvous::highest_weight;
 pub use crate::rendezvous::rank;
+pub use crate::rendezvous::rendezvous_weight;
 pub use crate::rendezvous::subset;
 pub use crate::retry_budget::RetryBudget;
 pub use crate::routing::CallerLimits;
--- a/crates/route/src/rendezvous.rs
+++ b/crates/route/src/rendezvous.rs
@@ -12,6 +12,14 @@
     xxh3_64_with_seed(text.as_bytes(), 0)
 }
 
+/// Returns the weight of a name for a key, to sort names by.
+///
+/// Processes get the same order for the same names without communicating.
+#[must_use]
+pub fn rendezvous_weight(key: &str, name: &str) -> u64 {
+    weight(hash(key), name)
+}
+
 /// Returns the name with the highest weight for a key.
 ///
 /// Processes with the same names get the same result without communicating.
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use crate::LoadScope;
 use crate::TargetInfo;
+use crate::rate_limit::RateLimit;
 
 /// Half-life of the weight of a load report.
 const REPORT_HALF_LIFE_MS: u64 = 500;
@@ -18,8 +18,6 @@
 /// A target is clearly faster if its token time is at most this percentage of
 /// the other's.
 const FASTER_PERCENT: u64 = 82;
-/// Stands for "no limit" in `rate_limit_milli`.
-const NO_RATE_LIMIT: u64 = u64::MAX;
 /// Score of one request per slot.
 pub(crate) const SCORE_UNIT: u64 = 1_024;
 
@@ -58,9 +56,8 @@
     pub(crate) consecutive_unanswered: AtomicU32,
     /// Until when the target is avoided, because it failed or is busy.
     pub(crate) avoided_until_ms: AtomicU64,
-    /// Requests a second, in thousandths, that the target said in its last
-    /// response it accepts from all hosts together.
-    rate_limit_milli: AtomicU64,
+    /// The rate that it states, and this process's share of it.
+    pub(crate) rate: RateLimit,
     /// Requests that this process started at the target, in all.
     started: AtomicU64,
 }
@@ -88,7 +85,7 @@
             consecutive_errors: AtomicU32::new(0),
             consecutive_unanswered: AtomicU32::new(0),
             avoided_until_ms: AtomicU64::new(0),
-            rate_limit_milli: AtomicU64::new(NO_RATE_LIMIT),
+            rate: RateLimit::default(),
             started: AtomicU64::new(0),
         }
     }
@@ -100,6 +97,11 @@
         self.open.load(Ordering::Acquire)
     }
 
+    /// Returns whether this process may start a request now.
+    pub(crate) fn accepts(&self, now_us: u64) -> bool {
+        self.is_open() && self.rate.may_send(now_us)
+    }
+
     /// Stops new work at once, also of requests that have already chosen this
     /// target.
     pub fn close(&self) {
@@ -174,15 +176,25 @@
     /// `None` if its last response to this process stated no limit.
     #[must_use]
     pub fn rate_limit(&self) -> Option<f64> {
-        let milli = self.rate_limit_milli.load(Ordering::Relaxed);
-        (milli != NO_RATE_LIMIT).then(|| Duration::from_millis(milli).as_secs_f64())
+        self.rate.stated()
+    }
+
+    /// Returns whether this process sends only its share of a limited rate.
+    #[must_use]
+    pub fn is_rate_limited(&self) -> bool {
+        self.rate.is_limited()
     }
 
-    /// Records the limit that a response of the target states. Returns whether
-    /// it differs from the one before.
-    pub fn record_rate_limit(&self, per_second: Option<f64>) -> bool {
-        let milli = per_second.map_or(NO_RATE_LIMIT, to_milli);
-        self.rate_limit_milli.swap(milli, Ordering::Relaxed) != milli
+    /// Number of requests that looked for a target of this kind since the last
+    /// call, while this one was limited.
+    #[must_use]
+    pub fn take_wanted(&self) -> u32 {
+        self.rate.take_wanted()
+    }
+
+    /// Ends the limit, because the target stated so to another host.
+    pub fn end_rate_limit(&self) {
+        self.rate.end();
     }
 
     /// Number of other processes' requests in a scope, as of the last report.
@@ -215,12 +227,6 @@
     }
 }
 
-/// Converts a rate to thousandths of a request a second.
-fn to_milli(per_second: f64) -> u64 {
-    let rate = Duration::try_from_secs_f64(per_second).unwrap_or(Duration::MAX);
-    u64::try_from(rate.as_millis()).unwrap_or(NO_RATE_LIMIT).min(NO_RATE_LIMIT - 1)
-}
-
 impl InFlight {
     /// The target that the request is at.
     #[must_use]
--- a/crates/route/tests/slots.rs
+++ b/crates/route/tests/slots.rs
@@ -218,7 +218,7 @@
         };
         match set.choose(&query, &mut rng, now) {
             Choice::Target(target) => target,
-            Choice::NoneOpen => panic!("all are open"),
+            Choice::NoneOpen | Choice::RateLimited => panic!("all are open"),
         }
     };
     for _ in 0..20 {
--- a/crates/route/tests/view.rs
+++ b/crates/route/tests/view.rs
@@ -196,7 +196,7 @@
         now,
     ) {
         Choice::Target(target) => target,
-        Choice::NoneOpen => panic!("there is a target"),
+        Choice::NoneOpen | Choice::RateLimited => panic!("there is a target"),
     }
 }
 
@@ -306,7 +306,7 @@
     let query = TargetQuery { affinity: Some(5), ..TargetQuery::new(&kind) };
     let choose_by_prefix = |set: &TargetSet| match set.choose(&query, &mut rng(), now) {
         Choice::Target(target) => target,
-        Choice::NoneOpen => panic!("there is a target"),
+        Choice::NoneOpen | Choice::RateLimited => panic!("there is a target"),
     };
     let first = choose_by_prefix(&set);
     for _ in 0..20 {
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -231,15 +231,21 @@
         let mut query = TargetQuery::new(&kind);
         query.tried = &attempts.tried;
         query.preferred_data_centre = Some(&self.app.state.data_centre);
-        let Choice::Target(target) = targets.choose(&query, &mut rand::rng(), Instant::now())
-        else {
-            return None;
+        targets.record_demand(&kind);
+        let now = Instant::now();
+        let target = match targets.choose(&query, &mut rand::rng(), now) {
+            Choice::Target(target) => target,
+            Choice::RateLimited => {
+                attempts.no_target = Some(Refusal::RateLimited);
+                return None;
+            }
+            Choice::NoneOpen => return None,
         };
         // A target that this request could not reach is not tried again.
         if attempts.unreachable.contains(&target.info.id) {
             return None;
         }
-        let in_flight = target.start_request()?;
+        let in_flight = targets.start_request(&target, now)?;
         log_attempt(self.app, self.id, &in_flight, attempts.sent + 1);
         attempts.tried.push(target.info.id.clone());
         attempts.sent += 1;
@@ -378,7 +384,8 @@
         targets.record_failure(in_flight.target(), Instant::now());
         return;
     }
-    if in_flight.target().record_rate_limit(head.rate_limit) {
+    if targets.record_rate_limit(in_flight.target(), head.rate_limit, Instant::now()) {
+        app.state.target_limited.notify_one();
         let (target, limit) = (in_flight.target().info.id.as_str(), head.rate_limit);
         log::info!(event = "target_limit", step = "call", target, limit; "the target states another limit on requests a second");
     }
@@ -392,6 +399,8 @@
     may_have_run: bool,
     start_another: bool,
     last_refused: bool,
+    /// Why no target was found, if not for want of one.
+    no_target: Option<Refusal>,
     /// Targets that the request was sent to.
     tried: Vec<TargetId>,
     /// The targets among them that could not be reached.
@@ -437,7 +446,7 @@
         match self.last_failure {
             Some(response) => CallOutcome::Failed(Box::new(response), self.failures),
             None if self.may_have_run => CallOutcome::Refused(Refusal::OutcomeUnknown),
-            None => CallOutcome::Refused(Refusal::NoTarget),
+            None => CallOutcome::Refused(self.no_target.unwrap_or(Refusal::NoTarget)),
         }
     }
 
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -297,7 +297,7 @@
                 let own = engine.target();
                 let better = |t: &Target| !t.is_slow() && (own.is_slow() || t.is_faster_than(own));
                 moves < MAX_MOVES
-                    && self.claim_free_slot(index, SlotPreference::Fastest, better).is_some()
+                    && self.find_free_slot(index, SlotPreference::Fastest, better).is_some()
             };
             let has_faster_slot = &has_faster_slot;
             let store_progress = |text: &ItemText| {
--- a/crates/serve/src/response.rs
+++ b/crates/serve/src/response.rs
@@ -31,6 +31,9 @@
     NoMemory,
     /// There is no target, or all are full; the request did not run.
     NoTarget,
+    /// This host has used its share of the rate that the targets accept; the
+    /// request did not run.
+    RateLimited,
     /// The store is unavailable; the request did not run.
     StoreUnavailable,
     /// The request may have run, but there is no response.
@@ -43,15 +46,18 @@
 
 /// `retry-after` while targets or memory are missing, in seconds.
 const SHORT_RETRY_AFTER: &str = "0.25";
-/// `retry-after` while the configuration or the store is missing, in seconds.
+/// `retry-after` while the configuration, the store or a share of a limited rate
+/// is missing, in seconds.
 const LONG_RETRY_AFTER: &str = "1";
 
 impl Refusal {
     fn status(self) -> StatusCode {
         match self {
-            Self::NoMemory | Self::NoTarget | Self::NotConfigured | Self::StoreUnavailable => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoMemory
+            | Self::NoTarget
+            | Self::NotConfigured
+            | Self::RateLimited
+            | Self::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute | Self::NoSuchJob => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
@@ -71,6 +77,7 @@
             Self::BodyTimeout => "too_slow",
             Self::NoMemory => "no_room",
             Self::NoTarget => "no_target",
+            Self::RateLimited => "rate_limited",
             Self::StoreUnavailable => "store_away",
             Self::OutcomeUnknown => "target_failed",
             Self::DeadlinePassed => "deadline_passed",
@@ -88,7 +95,9 @@
 
     fn retry_after(self) -> Option<&'static str> {
         match self {
-            Self::NotConfigured | Self::StoreUnavailable => Some(LONG_RETRY_AFTER),
+            Self::NotConfigured | Self::RateLimited | Self::StoreUnavailable => {
+                Some(LONG_RETRY_AFTER)
+            }
             Self::NoMemory | Self::NoTarget => Some(SHORT_RETRY_AFTER),
             _ => None,
         }
--- a/crates/serve/src/slot.rs
+++ b/crates/serve/src/slot.rs
@@ -126,12 +126,26 @@
 
     /// Claims a free slot at an engine that has a new enough version and is
     /// allowed.
-    pub(crate) fn claim_free_slot(
+    fn claim_free_slot(
         &self,
         index: u32,
         preference: SlotPreference<'_>,
         is_allowed: impl Fn(&Target) -> bool,
     ) -> Option<InFlight> {
+        let targets = self.app.state.targets.load();
+        targets.record_demand(&self.target_kind(index)?);
+        let engine = self.find_free_slot(index, preference, is_allowed)?;
+        targets.start_request(&engine, Instant::now())
+    }
+
+    /// Finds an engine with a free slot that has a new enough version and is
+    /// allowed.
+    pub(crate) fn find_free_slot(
+        &self,
+        index: u32,
+        preference: SlotPreference<'_>,
+        is_allowed: impl Fn(&Target) -> bool,
+    ) -> Option<Arc<Target>> {
         let kind = self.target_kind(index)?;
         let state = &self.app.state;
         let is_eligible = |target: &Target| {
@@ -140,9 +154,7 @@
         };
         let now = Instant::now();
         let targets = state.targets.load();
-        targets
-            .choose_with_free_slot(&kind, is_eligible, preference, &mut rand::rng(), now)?
-            .start_request()
+        targets.choose_with_free_slot(&kind, is_eligible, preference, &mut rand::rng(), now)
     }
 
     /// Returns the number of free slots at engines that may run the item.
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -69,6 +69,8 @@
     pub(crate) store_lost_at: ArcSwapOption<Instant>,
     /// Notified when a slot of an engine may have become free.
     pub(crate) slot_freed: Notify,
+    /// Notified when a target begins or ceases to state a rate limit.
+    pub(crate) target_limited: Notify,
     versions: Mutex<HashMap<TargetId, EngineVersions>>,
 }
 
@@ -87,6 +89,7 @@
             stopping: watch::Sender::new(false),
             store_lost_at: ArcSwapOption::empty(),
             slot_freed: Notify::new(),
+            target_limited: Notify::new(),
             versions: Mutex::default(),
         }
     }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -49,17 +49,23 @@
     let kind = TargetKind::Service { name: service };
     let caller_deadline = Instant::now() + head.timeout.unwrap_or_else(|| route.timeout());
     let deadline = caller_deadline.min(Instant::now() + route.timeout());
-    let mut tried = Vec::new();
+    let (mut tried, mut refusal) = (Vec::new(), Refusal::NoTarget);
     for _ in 0..route.max_attempts {
         let mut query = TargetQuery::new(&kind);
         query.tried = &tried;
         query.preferred_data_centre = Some(&app.state.data_centre);
         let targets = app.state.targets.load_full();
-        let Choice::Target(target) = targets.choose(&query, &mut rand::rng(), Instant::now())
-        else {
-            break;
+        targets.record_demand(&kind);
+        let now = Instant::now();
+        let target = match targets.choose(&query, &mut rand::rng(), now) {
+            Choice::Target(target) => target,
+            Choice::RateLimited => {
+                refusal = Refusal::RateLimited;
+                break;
+            }
+            Choice::NoneOpen => break,
         };
-        let Some(in_flight) = target.start_request() else { continue };
+        let Some(in_flight) = targets.start_request(&target, now) else { continue };
         tried.push(in_flight.target().info.id.clone());
         let caller_timeout = caller_deadline.saturating_duration_since(Instant::now());
         let info = &in_flight.target().info;
@@ -78,11 +84,11 @@
         match app.client.send_any_status("stream", info.addr, request, deadline).await {
             Ok(response) => {
                 let response_head = decode_response_head(response.status(), response.headers());
-                record_load(app, &in_flight, &response_head);
                 if !is_answer_to(&head.id, response.status(), &response_head) {
                     app.client.drop_pool(info.addr);
                     return Refusal::OutcomeUnknown.response("stream");
                 }
+                record_load(app, &in_flight, &response_head);
                 if !response_head.not_run {
                     return forward_response(app, head.id.clone(), response, in_flight);
                 }
@@ -97,7 +103,7 @@
             }
         }
     }
-    Refusal::NoTarget.response("stream")
+    refusal.response("stream")
 }
 
 /// Forwards the stream; the request counts as in flight until the stream ends.
