--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -14,6 +14,8 @@
 use cassia_clients::PlatformError;
 use cassia_ids::RequestId;
 use cassia_ids::TargetId;
+use cassia_quarantine::RequestDigest;
+use cassia_quarantine::request_digest;
 use cassia_route::Choice;
 use cassia_route::InFlight;
 use cassia_route::Route;
@@ -27,6 +29,7 @@
 use http::Response;
 use http::StatusCode;
 use http::Uri;
+use http::uri::PathAndQuery;
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 use tokio::time::sleep_until;
@@ -58,6 +61,13 @@
     pub(crate) body: Bytes,
 }
 
+impl OutgoingRequest {
+    fn digest(&self, host: &str) -> RequestDigest {
+        let path = self.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+        request_digest(host, self.method.as_str(), path, &self.body)
+    }
+}
+
 /// A target's complete response.
 #[derive(Debug)]
 pub(crate) struct TargetResponse {
@@ -98,6 +108,9 @@
     pub(crate) route: &'a Route,
     pub(crate) service: SmolStr,
     pub(crate) outgoing: OutgoingRequest,
+    /// Recognises a caller's request that comes again; `None` for requests of
+    /// this process itself.
+    pub(crate) digest: Option<RequestDigest>,
     pub(crate) deadline: Instant,
     /// Until when the caller waits; not before `deadline`.
     pub(crate) caller_deadline: Instant,
@@ -117,7 +130,9 @@
     let caller_timeout = head.timeout.unwrap_or_else(|| route.timeout());
     let deadline = now + caller_timeout.min(route.timeout());
     let caller_deadline = now + caller_timeout;
-    let call = Call { app, id: &head.id, route, service, outgoing, deadline, caller_deadline };
+    let digest = Some(outgoing.digest(&head.host));
+    let id = &head.id;
+    let call = Call { app, id, route, service, outgoing, digest, deadline, caller_deadline };
     let outcome = match route.kind {
         RouteKind::Idempotent => call.run_idempotent().await,
         _ => call.run_at_most_once().await,
@@ -321,7 +336,8 @@
         let info = &in_flight.target().info;
         self.app.state.targets.load().record_failure(in_flight.target(), Instant::now());
         let (id, peer) = (self.id.as_str(), info.id.as_str());
-        log::info!(event = "attempt_failed", step = e.step, id, peer; "{e}");
+        let digest = self.digest.map(|digest| format!("{digest:032x}"));
+        log::info!(event = "attempt_failed", step = e.step, id, peer, digest; "{e}");
         match e.kind {
             ErrorKind::Connect => AttemptOutcome::Unreachable(info.id.clone()),
             _ => AttemptOutcome::Unknown,
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -414,6 +414,7 @@
             route,
             service,
             outgoing,
+            digest: None,
             deadline,
             caller_deadline: deadline,
         };
