--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -57,6 +57,9 @@
     pub reset_after_events: Option<u64>,
     /// Ids of requests that always fail.
     pub failing_ids: BTreeSet<String>,
+    /// Bodies of requests under which it crashes: it runs the request and closes
+    /// the connection without a response.
+    pub crashing_bodies: BTreeSet<String>,
     /// Orders get no response and are executed after this delay.
     pub order_delay: Option<Duration>,
     /// No call gets a response.
@@ -364,6 +367,9 @@
             timeout_ms: number("deadline-ms"),
             last_event_id,
         });
+        if faults.crashing_bodies.iter().any(|body| body.as_bytes() == request.body()) {
+            return Reply::Reset;
+        }
         let echoed = if faults.response == ResponseFault::WrongId {
             "another".to_owned()
         } else {
