Quarantine: a request under which three targets crashed is no longer sent

Cause: retries are bounded for an attempt, and nothing outlives it. Ruled out: attempts sent to more targets than the route allows (two cut-offs at most in thirteen), and refusals by targets at reused addresses.

Each host reports under which digest a target's incarnation broke off; all hosts read the reports and refuse the request at once after three. A request that a target ran to its end was only there by chance and is not held back. Items and reward calls are not concerned.

--- /dev/null
+++ b/crates/quarantine/src/table.rs
@@ -0,0 +1,123 @@
+//! Requests under which targets crashed.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_ids::TargetId;
+
+use crate::QuarantineRecord;
+use crate::RequestDigest;
+
+/// Number of targets that must have crashed under a request before it is no
+/// longer sent. Others at the same targets crash with them, but rarely so often.
+const MAX_CRASHES: usize = 3;
+/// How long a request is not sent after the last crash under it.
+pub const QUARANTINE: Duration = Duration::from_mins(5);
+/// Maximum number of requests that are remembered because of a crash.
+const MAX_SUSPECTS: usize = 4_096;
+/// Maximum number of requests that are remembered because of a success.
+const MAX_SUCCEEDED: usize = 2_048;
+
+/// The requests under which targets crashed, as reported by all hosts.
+///
+/// A request that a target ran to its end before is never held back by this
+/// host: it was only at targets that crashed for another reason.
+#[derive(Debug, Default)]
+pub struct QuarantineTable {
+    suspects: HashMap<RequestDigest, Suspect>,
+    succeeded: RecentDigests,
+}
+
+#[derive(Debug)]
+struct Suspect {
+    /// The incarnations of targets that crashed; no more than `MAX_CRASHES`.
+    crashed: Vec<(TargetId, u64)>,
+    last_crash: Instant,
+}
+
+/// The digests added last, up to `MAX_SUCCEEDED`.
+#[derive(Debug, Default)]
+struct RecentDigests {
+    set: HashSet<RequestDigest>,
+    by_age: VecDeque<RequestDigest>,
+}
+
+impl QuarantineTable {
+    /// Applies a record of this host or another one; repeating it changes
+    /// nothing but the time of the last crash.
+    pub fn apply(&mut self, record: &QuarantineRecord, now: Instant) {
+        match record {
+            QuarantineRecord::Crash { digest, target, incarnation } => {
+                self.make_room(now);
+                let suspect = self
+                    .suspects
+                    .entry(*digest)
+                    .or_insert_with(|| Suspect { crashed: Vec::new(), last_crash: now });
+                suspect.last_crash = now;
+                let crashed = (target.clone(), *incarnation);
+                if suspect.crashed.len() < MAX_CRASHES && !suspect.crashed.contains(&crashed) {
+                    suspect.crashed.push(crashed);
+                }
+            }
+            QuarantineRecord::Cleared { digest } => {
+                self.suspects.remove(digest);
+            }
+        }
+    }
+
+    /// Records that a target ran the request to its end. Returns whether it was
+    /// suspected, which the other hosts then have to be told.
+    pub fn record_success(&mut self, digest: RequestDigest) -> bool {
+        self.succeeded.insert(digest);
+        self.suspects.remove(&digest).is_some()
+    }
+
+    /// Returns whether the request must not be sent.
+    #[must_use]
+    pub fn is_quarantined(&self, digest: RequestDigest, now: Instant) -> bool {
+        let suspect = self.suspects.get(&digest);
+        suspect.is_some_and(|suspect| {
+            suspect.crashed.len() >= MAX_CRASHES
+                && now < suspect.last_crash + QUARANTINE
+                && !self.succeeded.set.contains(&digest)
+        })
+    }
+
+    /// Number of targets that crashed under a request, as far as they count.
+    #[must_use]
+    pub fn crash_count(&self, digest: RequestDigest) -> usize {
+        self.suspects.get(&digest).map_or(0, |suspect| suspect.crashed.len())
+    }
+
+    /// Removes the entries whose time is over, and the oldest one if there are
+    /// still too many.
+    fn make_room(&mut self, now: Instant) {
+        if self.suspects.len() < MAX_SUSPECTS {
+            return;
+        }
+        self.suspects.retain(|_, suspect| now < suspect.last_crash + QUARANTINE);
+        if self.suspects.len() >= MAX_SUSPECTS {
+            let oldest = self.suspects.iter().min_by_key(|(_, suspect)| suspect.last_crash);
+            if let Some(oldest) = oldest.map(|(digest, _)| *digest) {
+                self.suspects.remove(&oldest);
+            }
+        }
+    }
+}
+
+impl RecentDigests {
+    fn insert(&mut self, digest: RequestDigest) {
+        if !self.set.insert(digest) {
+            return;
+        }
+        self.by_age.push_back(digest);
+        if self.by_age.len() > MAX_SUCCEEDED
+            && let Some(oldest) = self.by_age.pop_front()
+        {
+            self.set.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quarantine/tests/table.rs
@@ -0,0 +1,134 @@
+//! Which requests are held back: those under which targets crashed, not those
+//! that were at the same targets.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use cassia_quarantine::QUARANTINE;
+use cassia_quarantine::QuarantineRecord;
+use cassia_quarantine::QuarantineTable;
+use cassia_quarantine::RequestDigest;
+use cassia_quarantine::request_digest;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const BAD: RequestDigest = 1;
+
+fn crash(digest: RequestDigest, target: &str, incarnation: u64) -> QuarantineRecord {
+    QuarantineRecord::Crash { digest, target: target.into(), incarnation }
+}
+
+/// Returns a table in which three targets have crashed under `BAD`.
+fn crashed_table(now: Instant) -> QuarantineTable {
+    let mut table = QuarantineTable::default();
+    for target in ["t1", "t2", "t3"] {
+        table.apply(&crash(BAD, target, 1), now);
+    }
+    table
+}
+
+#[rstest]
+#[case::two_targets(&[("t1", 1), ("t2", 1)], false)]
+#[case::three_targets(&[("t1", 1), ("t2", 1), ("t3", 1)], true)]
+#[case::three_incarnations_of_one_target(&[("t1", 1), ("t1", 2), ("t1", 3)], true)]
+// A connection may break without a crash; one target can crash only once.
+#[case::one_crash_reported_often(&[("t1", 1), ("t1", 1), ("t1", 1), ("t1", 1)], false)]
+fn a_request_is_held_back_after_three_crashes(
+    #[case] crashes: &[(&str, u64)],
+    #[case] expected: bool,
+) {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    for (target, incarnation) in crashes {
+        table.apply(&crash(BAD, target, *incarnation), now);
+    }
+    assert_eq!(table.is_quarantined(BAD, now), expected);
+    assert!(!table.is_quarantined(BAD + 1, now));
+}
+
+#[test]
+fn a_request_is_tried_again_after_the_quarantine() {
+    let now = Instant::now();
+    let mut table = crashed_table(now);
+    let last = now + Duration::from_mins(4);
+    table.apply(&crash(BAD, "t4", 1), last);
+    assert!(table.is_quarantined(BAD, last + QUARANTINE.saturating_sub(Duration::from_secs(1))));
+    assert!(!table.is_quarantined(BAD, last + QUARANTINE));
+}
+
+#[test]
+fn a_request_that_succeeded_is_never_held_back_here() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    assert!(!table.record_success(BAD), "nobody suspected it");
+    for target in ["t1", "t2", "t3"] {
+        table.apply(&crash(BAD, target, 1), now);
+    }
+    assert!(!table.is_quarantined(BAD, now));
+}
+
+#[test]
+fn a_success_clears_a_suspected_request_at_all_hosts() {
+    let now = Instant::now();
+    let (mut here, mut there) = (crashed_table(now), crashed_table(now));
+    assert!(here.record_success(BAD), "the others must be told");
+    there.apply(&QuarantineRecord::Cleared { digest: BAD }, now);
+    assert!(!here.is_quarantined(BAD, now));
+    assert!(!there.is_quarantined(BAD, now));
+}
+
+/// Guards against memory that grows with the connections that break in a
+/// network partition.
+#[test]
+fn the_table_stays_small_and_keeps_the_newest() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    for digest in 0..10_000 {
+        table.apply(
+            &crash(digest, "t1", 1),
+            now + Duration::from_millis(1) * u32::try_from(digest).unwrap_or(0),
+        );
+    }
+    assert_eq!((0..10_000).filter(|digest| table.crash_count(*digest) > 0).count(), 4_096);
+    assert_eq!(table.crash_count(9_999), 1);
+    for digest in 0..10_000 {
+        table.record_success(digest);
+    }
+    for target in ["t2", "t3", "t4"] {
+        table.apply(&crash(0, target, 1), now);
+        table.apply(&crash(9_999, target, 1), now);
+    }
+    assert!(table.is_quarantined(0, now), "an old success is forgotten");
+    assert!(!table.is_quarantined(9_999, now));
+}
+
+#[rstest]
+#[case(("h", "POST", "/a", ""), ("h", "POST", "/", "a"))]
+#[case(("h", "POST", "/a", "b"), ("h", "PUT", "/a", "b"))]
+#[case(("h", "POST", "/a?x=1", "b"), ("h", "POST", "/a?x=2", "b"))]
+#[case(("h", "POST", "/a", "b"), ("g", "POST", "/a", "b"))]
+fn other_requests_have_other_digests(
+    #[case] a: (&str, &str, &str, &str),
+    #[case] b: (&str, &str, &str, &str),
+) {
+    let digest = |r: (&str, &str, &str, &str)| request_digest(r.0, r.1, r.2, r.3.as_bytes());
+    assert_ne!(digest(a), digest(b));
+}
+
+proptest! {
+    #[test]
+    fn records_are_decoded_as_they_were_encoded(
+        digest in any::<u128>(), target in "[a-z0-9-]{0,20}", incarnation in any::<u64>(),
+    ) {
+        let records = [crash(digest, &target, incarnation), QuarantineRecord::Cleared { digest }];
+        for record in records {
+            prop_assert_eq!(QuarantineRecord::decode(record.to_record()), Ok(record));
+        }
+    }
+
+    #[test]
+    fn arbitrary_bytes_are_no_panic(bytes in prop::collection::vec(any::<u8>(), 0..100)) {
+        let _ = QuarantineRecord::decode(Bytes::from(bytes));
+    }
+}
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::flags::ServeSettings;
 use crate::job_log::JobLog;
+use crate::quarantine::Quarantine;
 use crate::state::SharedState;
 
 /// The shared state and the clients of other systems.
@@ -24,6 +25,8 @@
     pub(crate) client: HttpClient,
     pub(crate) clock: Box<dyn Clock>,
     pub(crate) job_log: JobLog,
+    /// The requests under which targets crashed.
+    pub(crate) quarantine: Quarantine,
     /// Memory used by request bodies that are not complete yet.
     pub(crate) body_budget: Arc<ByteBudget>,
     pub(crate) metrics: Metrics,
@@ -42,6 +45,7 @@
         Self {
             state: SharedState::new(settings),
             job_log: JobLog::new(&store, settings.store_parts),
+            quarantine: Quarantine::default(),
             body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
             store,
             client: HttpClient::new(response_budget),
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -62,7 +62,9 @@
 }
 
 impl OutgoingRequest {
-    fn digest(&self, host: &str) -> RequestDigest {
+    /// Returns the digest by which the request is recognised when it comes
+    /// again.
+    pub(crate) fn digest(&self, host: &str) -> RequestDigest {
         let path = self.uri.path_and_query().map_or("/", PathAndQuery::as_str);
         request_digest(host, self.method.as_str(), path, &self.body)
     }
@@ -241,6 +243,10 @@
         if attempts.sent >= self.route.max_attempts || attempts.refusals > MAX_REFUSALS {
             return None;
         }
+        if self.digest.is_some_and(|digest| self.app.quarantine.holds(digest)) {
+            attempts.no_target = Some(Refusal::Quarantined);
+            return None;
+        }
         let kind = TargetKind::Service { name: self.service.clone() };
         let targets = self.app.state.targets.load();
         let mut query = TargetQuery::new(&kind);
@@ -320,6 +326,9 @@
         let deadline = self.deadline + DEADLINE_SLACK;
         match self.app.client.read_body("call", info.addr, response, deadline).await {
             Ok(response) => {
+                if let Some(digest) = self.digest {
+                    self.app.quarantine.record_success(digest);
+                }
                 let targets = self.app.state.targets.load();
                 if is_target_failure(response.status()) {
                     targets.record_error(in_flight.target(), Instant::now());
@@ -336,6 +345,9 @@
         let info = &in_flight.target().info;
         self.app.state.targets.load().record_failure(in_flight.target(), Instant::now());
         let (id, peer) = (self.id.as_str(), info.id.as_str());
+        if let Some(digest) = self.digest.filter(|_| e.kind == ErrorKind::Incomplete) {
+            self.app.quarantine.record_crash(digest, in_flight.target());
+        }
         let digest = self.digest.map(|digest| format!("{digest:032x}"));
         log::info!(event = "attempt_failed", step = e.step, id, peer, digest; "{e}");
         match e.kind {
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -206,7 +206,9 @@
             submit::handle(app, &head, &route, &parts, body).await
         }
         RouteKind::Job => Refusal::BadRequest.response("submit"),
-        RouteKind::Stream { .. } => stream::handle(app, &head, &route, &parts, body).await,
+        RouteKind::Stream { .. } => {
+            stream::handle(app, &head, &route, &outgoing_request(parts, body)).await
+        }
         RouteKind::Idempotent | RouteKind::NonIdempotent => {
             call::handle(app, &head, &route, outgoing_request(parts, body)).await
         }
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -16,6 +16,7 @@
 mod order;
 mod ownership;
 mod partition_log;
+mod quarantine;
 mod rate_limits;
 mod response;
 mod runner;
@@ -70,6 +71,8 @@
     tokio::spawn(config::run(Arc::clone(&app)));
     tokio::spawn(targets::run(Arc::clone(&app)));
     tokio::spawn(rate_limits::run(Arc::clone(&app)));
+    tokio::spawn(quarantine::read_reports(Arc::clone(&app)));
+    tokio::spawn(quarantine::append_reports(Arc::clone(&app)));
     let ownership = tokio::spawn(ownership::run(Arc::clone(&app)));
     let weights = tokio::spawn(weights::run(Arc::clone(&app)));
     ingress::wait_for_stop_signal(&app).await?;
--- /dev/null
+++ b/crates/serve/src/quarantine.rs
@@ -0,0 +1,157 @@
+//! The quarantine controller: shares with the other hosts under which requests
+//! targets crashed, through a topic of the store.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_clients::PartitionRef;
+use cassia_clients::StoreError;
+use cassia_clients::StoreErrorKind;
+use cassia_ids::Offset;
+use cassia_node::ReadBackoff;
+use cassia_quarantine::QuarantineRecord;
+use cassia_quarantine::QuarantineTable;
+use cassia_quarantine::RequestDigest;
+use cassia_route::Target;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use crate::app::App;
+use crate::state::lock;
+
+/// The topic of the reports.
+const REPORTS: PartitionRef<'static> = PartitionRef { topic: "crashes", partition: 0 };
+/// Limit of one read.
+const READ_MAX_KB: u32 = 256;
+/// How long the store may hold a read back until there are records. Short, so
+/// that a dead connection is detected before a request crashes many more targets.
+const LONG_POLL: Duration = Duration::from_secs(1);
+/// How long a response of the store may take beyond the long poll.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum timeout of a read, which grows while reads fail.
+const MAX_READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout of an append.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Delay after a failed call; the backoff lengthens that of reads.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// How long reports are collected for one append.
+const BATCH_DELAY: Duration = Duration::from_millis(5);
+/// Maximum number of reports that wait to be appended. In an outage of the store
+/// the connections to many targets may break too.
+const MAX_QUEUED: usize = 256;
+
+/// The requests under which targets crashed.
+#[derive(Debug, Default)]
+pub(crate) struct Quarantine {
+    table: Mutex<QuarantineTable>,
+    /// Reports of this host that are not in the log yet.
+    queue: Mutex<Vec<QuarantineRecord>>,
+    queued: Notify,
+}
+
+impl Quarantine {
+    /// Returns whether the request must not be sent.
+    pub(crate) fn holds(&self, digest: RequestDigest) -> bool {
+        lock(&self.table).is_quarantined(digest, Instant::now())
+    }
+
+    /// Records that a target broke off while it ran the request.
+    pub(crate) fn record_crash(&self, digest: RequestDigest, target: &Target) {
+        let (target, incarnation) = (target.info.id.clone(), target.info.incarnation);
+        self.report(QuarantineRecord::Crash { digest, target, incarnation });
+    }
+
+    /// Records that a target ran the request to its end.
+    pub(crate) fn record_success(&self, digest: RequestDigest) {
+        if lock(&self.table).record_success(digest) {
+            self.report(QuarantineRecord::Cleared { digest });
+        }
+    }
+
+    fn report(&self, record: QuarantineRecord) {
+        self.apply(&record);
+        let mut queue = lock(&self.queue);
+        if queue.len() < MAX_QUEUED {
+            queue.push(record);
+            self.queued.notify_one();
+        }
+    }
+
+    fn apply(&self, record: &QuarantineRecord) {
+        let (QuarantineRecord::Crash { digest, .. } | QuarantineRecord::Cleared { digest }) =
+            record;
+        let now = Instant::now();
+        let (was_held, is_held, crashes) = {
+            let mut table = lock(&self.table);
+            let was_held = table.is_quarantined(*digest, now);
+            table.apply(record, now);
+            (was_held, table.is_quarantined(*digest, now), table.crash_count(*digest))
+        };
+        if is_held != was_held {
+            let digest = format!("{digest:032x}");
+            log::info!(event = "quarantine", step = "quarantine", digest, held = is_held, crashes; "a request that crashes targets is held back or released");
+        }
+    }
+}
+
+/// Reads the reports of all hosts until the process ends.
+pub(crate) async fn read_reports(app: Arc<App>) {
+    let mut next = 0;
+    let mut backoff = ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT);
+    loop {
+        match read(&app, next, backoff.timeout()).await {
+            Ok(offset) => {
+                next = offset;
+                backoff.record_success();
+            }
+            Err(e) => {
+                if let StoreErrorKind::Expired { oldest } = e.kind {
+                    next = oldest;
+                } else {
+                    backoff.record_failure();
+                }
+                log::debug!(event = "store_away", step = e.step; "{e}");
+                app.state.sleep_unless_stopping(backoff.delay(RETRY_DELAY, rand::random())).await;
+            }
+        }
+    }
+}
+
+/// Reads the reports from an offset on, and returns the offset from which to
+/// read on.
+async fn read(app: &App, from: Offset, timeout: Duration) -> Result<Offset, StoreError> {
+    let deadline = Instant::now() + LONG_POLL + timeout;
+    let read = app.store.read(REPORTS, from, READ_MAX_KB, LONG_POLL, deadline).await?;
+    let next = read.start + read.records.len() as u64;
+    for record in read.records {
+        match QuarantineRecord::decode(record) {
+            Ok(record) => app.quarantine.apply(&record),
+            Err(e) => {
+                log::warn!(event = "record_unreadable", step = "quarantine"; "{e}");
+            }
+        }
+    }
+    Ok(next)
+}
+
+/// Appends this host's reports until the process ends.
+pub(crate) async fn append_reports(app: Arc<App>) {
+    loop {
+        app.quarantine.queued.notified().await;
+        sleep(BATCH_DELAY).await;
+        let batch = std::mem::take(&mut *lock(&app.quarantine.queue));
+        let records: Vec<_> = batch.iter().map(QuarantineRecord::to_record).collect();
+        if records.is_empty() {
+            continue;
+        }
+        // Appended twice, a report counts once.
+        while let Err(e) =
+            app.store.append(REPORTS, &records, Instant::now() + APPEND_TIMEOUT).await
+        {
+            log::info!(event = "append_failed", step = e.step; "{e}");
+            sleep(RETRY_DELAY).await;
+        }
+    }
+}
--- a/crates/serve/src/response.rs
+++ b/crates/serve/src/response.rs
@@ -31,6 +31,8 @@
     NoMemory,
     /// There is no target, or all are full; the request did not run.
     NoTarget,
+    /// Targets have crashed under the request before; it did not run.
+    Quarantined,
     /// This host has used its share of the rate that the targets accept; the
     /// request did not run.
     RateLimited,
@@ -49,6 +51,9 @@
 /// `retry-after` while the configuration, the store or a share of a limited rate
 /// is missing, in seconds.
 const LONG_RETRY_AFTER: &str = "1";
+/// `retry-after` of a request that crashes targets, in seconds: when it may be
+/// tried again.
+const QUARANTINE_RETRY_AFTER: &str = "300";
 
 impl Refusal {
     fn status(self) -> StatusCode {
@@ -56,6 +61,7 @@
             Self::NoMemory
             | Self::NoTarget
             | Self::NotConfigured
+            | Self::Quarantined
             | Self::RateLimited
             | Self::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
@@ -77,6 +83,7 @@
             Self::BodyTimeout => "too_slow",
             Self::NoMemory => "no_room",
             Self::NoTarget => "no_target",
+            Self::Quarantined => "quarantined",
             Self::RateLimited => "rate_limited",
             Self::StoreUnavailable => "store_away",
             Self::OutcomeUnknown => "target_failed",
@@ -98,6 +105,7 @@
             Self::NotConfigured | Self::RateLimited | Self::StoreUnavailable => {
                 Some(LONG_RETRY_AFTER)
             }
+            Self::Quarantined => Some(QUARANTINE_RETRY_AFTER),
             Self::NoMemory | Self::NoTarget => Some(SHORT_RETRY_AFTER),
             _ => None,
         }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -13,19 +13,20 @@
 use cassia_ids::RequestId;
 use cassia_jobs::EventError;
 use cassia_jobs::EventParser;
+use cassia_quarantine::RequestDigest;
 use cassia_route::Choice;
 use cassia_route::InFlight;
 use cassia_route::Route;
 use cassia_route::TargetKind;
 use cassia_route::TargetQuery;
 use http::Response;
-use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 
 use crate::app::App;
+use crate::call::OutgoingRequest;
 use crate::call::is_answer_to;
 use crate::call::record_load;
 use crate::response::Body;
@@ -40,8 +41,7 @@
     app: &Arc<App>,
     head: &RequestHead,
     route: &Route,
-    parts: &Parts,
-    body: Bytes,
+    outgoing: &OutgoingRequest,
 ) -> Response<Body> {
     let Some(service) = route.pick_service(rand::random()).cloned() else {
         return Refusal::NoTarget.response("choose");
@@ -50,7 +50,12 @@
     let caller_deadline = Instant::now() + head.timeout.unwrap_or_else(|| route.timeout());
     let deadline = caller_deadline.min(Instant::now() + route.timeout());
     let (mut tried, mut refusal) = (Vec::new(), Refusal::NoTarget);
+    let digest = outgoing.digest(&head.host);
     for _ in 0..route.max_attempts {
+        if app.quarantine.holds(digest) {
+            refusal = Refusal::Quarantined;
+            break;
+        }
         let mut query = TargetQuery::new(&kind);
         query.tried = &tried;
         query.preferred_data_centre = Some(&app.state.data_centre);
@@ -72,10 +77,10 @@
         let request = target_request(
             info.addr,
             &info.id,
-            &parts.method,
-            &parts.uri,
-            &parts.headers,
-            body.clone(),
+            &outgoing.method,
+            &outgoing.uri,
+            &outgoing.headers,
+            outgoing.body.clone(),
             caller_timeout,
         );
         let Ok(request) = request else {
@@ -90,7 +95,7 @@
                 }
                 record_load(app, &in_flight, &response_head);
                 if !response_head.not_run {
-                    return forward_response(app, head.id.clone(), response, in_flight);
+                    return forward_response(app, head.id.clone(), digest, response, in_flight);
                 }
             }
             Err(e) if e.kind == ErrorKind::Connect => {
@@ -98,6 +103,9 @@
             }
             Err(e) => {
                 targets.record_failure(in_flight.target(), Instant::now());
+                if e.kind == ErrorKind::Incomplete {
+                    app.quarantine.record_crash(digest, in_flight.target());
+                }
                 log::info!(event = "attempt_failed", step = e.step, id = head.id.as_str(), peer = info.id.as_str(); "{e}");
                 return Refusal::OutcomeUnknown.response("stream");
             }
@@ -112,6 +120,7 @@
 fn forward_response(
     app: &Arc<App>,
     id: RequestId,
+    digest: RequestDigest,
     response: Response<Incoming>,
     in_flight: InFlight,
 ) -> Response<Body> {
@@ -119,6 +128,7 @@
     let forwarded = ForwardedStream {
         app: Arc::clone(app),
         id,
+        digest,
         body,
         in_flight,
         parser: EventParser::new(VERSION_FIELD),
@@ -134,6 +144,7 @@
 struct ForwardedStream {
     app: Arc<App>,
     id: RequestId,
+    digest: RequestDigest,
     body: Incoming,
     in_flight: InFlight,
     /// Checks that what is forwarded consists of events.
@@ -142,10 +153,17 @@
 
 impl ForwardedStream {
     async fn next_frame(mut self) -> anyhow::Result<Option<(Frame<Bytes>, Self)>> {
-        let Some(frame) = self.body.frame().await else {
-            return Ok(None);
+        let frame = match self.body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(e)) => {
+                self.app.quarantine.record_crash(self.digest, self.in_flight.target());
+                return Err(e.into());
+            }
+            None => {
+                self.app.quarantine.record_success(self.digest);
+                return Ok(None);
+            }
         };
-        let frame = frame?;
         if let Some(data) = frame.data_ref()
             && let Err(e) = self.check(data)
         {
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -29,6 +29,8 @@
 use crate::server::lock;
 
 const FIRST_EVENT_ID: u64 = 0;
+/// How long a target that crashed takes to start again.
+const RESTART_TIME: Duration = Duration::from_millis(400);
 /// Time from an accepted order until its version is active.
 const LOAD_TIME: Duration = Duration::from_millis(80);
 
@@ -57,8 +59,8 @@
     pub reset_after_events: Option<u64>,
     /// Ids of requests that always fail.
     pub failing_ids: BTreeSet<String>,
-    /// Bodies of requests under which it crashes: it runs the request and closes
-    /// the connection without a response.
+    /// Bodies of requests under which it crashes: it runs the request, closes the
+    /// connection without a response, and starts again after a moment.
     pub crashing_bodies: BTreeSet<String>,
     /// Orders get no response and are executed after this delay.
     pub order_delay: Option<Duration>,
@@ -123,7 +125,6 @@
 #[derive(Debug)]
 struct Shared {
     spec: TargetSpec,
-    started_ms: u64,
     heartbeat_count: AtomicU64,
     state: Mutex<State>,
 }
@@ -131,6 +132,10 @@
 #[derive(Debug)]
 struct State {
     faults: TargetFaults,
+    /// When it started, in milliseconds of wall-clock time.
+    started_ms: u64,
+    /// Until when it is down after a crash.
+    down_until: Option<Instant>,
     delay: Duration,
     version: u64,
     pending_load: Option<(u64, Instant)>,
@@ -163,6 +168,8 @@
         let started_ms = u64::try_from(since_epoch.unwrap_or_default().as_millis()).unwrap_or(0);
         let state = State {
             faults: TargetFaults::default(),
+            started_ms,
+            down_until: None,
             delay: spec.delay,
             version: 1,
             pending_load: None,
@@ -174,8 +181,7 @@
             leaving: false,
         };
         let heartbeat_count = AtomicU64::new(0);
-        let shared =
-            Arc::new(Shared { spec, started_ms, heartbeat_count, state: Mutex::new(state) });
+        let shared = Arc::new(Shared { spec, heartbeat_count, state: Mutex::new(state) });
         let server = Server::start(Arc::new(Arc::clone(&shared))).await?;
         Ok(Self { server, shared })
     }
@@ -200,7 +206,9 @@
 
     /// Writes a heartbeat to the store.
     pub fn send_heartbeat(&self, store: &StoreStandin) {
-        store.put("keyed.servers", &self.shared.spec.id, Some(&self.heartbeat()));
+        if !lock(&self.shared.state).is_down() {
+            store.put("keyed.servers", &self.shared.spec.id, Some(&self.heartbeat()));
+        }
     }
 
     /// Returns the next heartbeat.
@@ -215,7 +223,7 @@
             "state": if state.leaving { "draining" } else { "ready" },
             "cold_left_ms": 0, "stage": "hybrid", "models": models,
             "sequence": self.shared.heartbeat_count.fetch_add(1, Ordering::Relaxed),
-            "born": self.shared.started_ms,
+            "born": state.started_ms,
         })
     }
 
@@ -273,6 +281,16 @@
 }
 
 impl State {
+    fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Crashes; the next heartbeat is that of a new incarnation.
+    fn crash(&mut self) {
+        self.started_ms += 1;
+        self.down_until = Some(Instant::now() + RESTART_TIME);
+    }
+
     /// Activates the version of a pending load once its time is over.
     fn finish_load(&mut self) {
         if let Some((version, _)) = self.pending_load.filter(|(_, done)| Instant::now() >= *done) {
@@ -368,6 +386,8 @@
             last_event_id,
         });
         if faults.crashing_bodies.iter().any(|body| body.as_bytes() == request.body()) {
+            lock(&self.state).crash();
+            self.heartbeat_count.store(0, Ordering::Relaxed);
             return Reply::Reset;
         }
         let echoed = if faults.response == ResponseFault::WrongId {
@@ -457,6 +477,9 @@
         if lock(&self.state).faults.silent {
             return Reply::Hang;
         }
+        if lock(&self.state).is_down() {
+            return Reply::Reset;
+        }
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/v1/report") => self.report_load(),
             (&Method::POST, "/v1/order") => self.handle_order(&request),
--- a/crates/trials/tests/platform_crashing_requests.rs
+++ b/crates/trials/tests/platform_crashing_requests.rs
@@ -19,6 +19,8 @@
 const BAD: &str = "bad";
 /// How long after the third crash every host must know the request.
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
+/// Time between attempts after that, in which crashed targets start again.
+const LATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Most targets that may get the request after that.
 const MAX_LATE_RUNS: usize = 3;
 
@@ -88,6 +90,7 @@
         let response = send(&env, to, route, &format!("late{n}"), BAD).await;
         assert!(response.status >= 500, "{response:?}");
         assert!(start.elapsed() < Duration::from_secs(1), "it is refused at once");
+        sleep(LATE_INTERVAL).await;
     }
     let runs = run_count(&env, "late");
     assert!(runs <= MAX_LATE_RUNS, "sent to {runs} more targets");
@@ -108,6 +111,7 @@
     sleep(PROPAGATION_LIMIT).await;
     for n in 0..10 {
         send(&env, &process, "quote", &format!("late{n}"), BAD).await;
+        sleep(LATE_INTERVAL).await;
     }
     let runs = run_count(&env, "late");
     assert!(runs <= MAX_LATE_RUNS, "sent to {runs} more targets");
