--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -402,7 +402,7 @@
     head.id.as_ref().map_or(!status.is_success(), |answered| answered == id)
 }
 
-/// Records the load and the limit that a target's response states.
+/// Records what a target's response states about the target.
 pub(crate) fn record_load(app: &App, in_flight: &InFlight, head: &ResponseHead) {
     let targets = app.state.targets.load();
     if let Some(load) = head.load {
@@ -412,6 +412,12 @@
         targets.record_failure(in_flight.target(), Instant::now());
         return;
     }
+    if head.leaving && in_flight.target().is_open() {
+        // Its heartbeats may say so later, or never.
+        in_flight.target().close();
+        let target = in_flight.target().info.id.as_str();
+        log::info!(event = "target_leaving", step = "call", target; "the target states that it is leaving");
+    }
     if targets.record_rate_limit(in_flight.target(), head.rate_limit, Instant::now()) {
         app.state.target_limited.notify_one();
         let (target, limit) = (in_flight.target().info.id.as_str(), head.rate_limit);
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -66,6 +66,8 @@
     pub order_delay: Option<Duration>,
     /// No call gets a response.
     pub silent: bool,
+    /// It states in its responses that it is leaving; its heartbeats don't.
+    pub states_leaving: bool,
     /// Requests a second that it states to accept from all hosts together.
     pub rate_limit: Option<f64>,
 }
@@ -400,6 +402,9 @@
             ("response-stamp", format!("stamp-{echoed}")),
             ("server-load", format!("{},0,8", lock(&self.state).running.len())),
         ];
+        if faults.states_leaving {
+            headers.push(("server-leaving", "1".to_owned()));
+        }
         headers.extend(faults.rate_limit.map(|rate| ("server-limit", rate.to_string())));
         if faults.response == ResponseFault::Hang {
             return Reply::Hang;
--- a/crates/trials/tests/platform.rs
+++ b/crates/trials/tests/platform.rs
@@ -307,3 +307,37 @@
     assert!(target.copy_count() > 0, "no second copy was sent");
     Ok(())
 }
+
+/// Guards against requests to a target that has stated in a response that it is
+/// leaving, before its heartbeats say so.
+#[rstest]
+#[case::service("quote", 2)]
+#[case::stream("stream", 0)]
+#[tokio::test]
+async fn a_target_that_states_that_it_is_leaving_gets_no_more_requests(
+    #[case] route: &str,
+    #[case] leaving: usize,
+) -> anyhow::Result<()> {
+    let env = PlatformEnv::start().await?.with_targets(2, 2).await?;
+    let processes = start_processes(&env, 1).await?;
+    let process = &processes[0].1;
+    wait_until_serving(&env, process).await?;
+    let target = &env.targets[leaving];
+    target.set_faults(TargetFaults { states_leaving: true, ..TargetFaults::default() });
+    let before = target.runs().len();
+    let mut told_at = None;
+    for n in 0..60 {
+        let response = env.request(process, &format!("/{route}/1"), &format!("l{n}")).await;
+        assert_eq!(response.status, 200, "{response:?}");
+        if told_at.is_none() && target.runs().len() > before {
+            told_at = Some(Instant::now());
+        }
+        sleep(Duration::from_millis(60)).await;
+    }
+    let told_at = told_at.context("the target got a request")?;
+    let limit = told_at + Duration::from_millis(LEAVING_LIMIT_MS);
+    assert!(limit < Instant::now(), "requests were sent after the limit");
+    let late = target.runs().iter().filter(|run| run.started > limit).count();
+    assert_eq!(late, 0, "requests reached the target after the limit");
+    Ok(())
+}
