Registry: a removal after an outage takes effect at the end of the grace period

Callers' requests went to a target for up to 1.7 s longer than meant: a removal in the grace period after an outage of the list counted 1.7 s from the removal, not from the end of the outage. The new test of the registry failed before.

--- a/crates/route/src/registry.rs
+++ b/crates/route/src/registry.rs
@@ -16,7 +16,7 @@
 use crate::TargetKind;
 
 /// After an outage of the list, live targets write entries that expired during
-/// it again within two seconds. A removal in that time takes effect only after
+/// it again within two seconds. A removal in that time takes effect at the end of
 /// this grace period.
 const REMOVAL_GRACE: Duration = Duration::from_millis(1_700);
 /// How long a removed target is kept, so that an old heartbeat that is read
@@ -112,15 +112,14 @@
 
     /// Marks a target as removed because its entry was removed from the list.
     pub fn remove(&mut self, id: &str, now: Instant) -> Update {
-        let in_grace = self.grace_until.is_some_and(|until| now < until);
+        let removed_at = self.grace_until.map_or(now, |until| until.max(now));
         let Some(entry) = self.entries.get_mut(id) else {
             return Update::Unchanged;
         };
         if matches!(entry.presence, Presence::RemovedAt(_)) {
             return Update::Unchanged;
         }
-        let grace = if in_grace { REMOVAL_GRACE } else { Duration::ZERO };
-        entry.presence = Presence::RemovedAt(now + grace);
+        entry.presence = Presence::RemovedAt(removed_at);
         Update::Changed
     }
 
--- a/crates/route/tests/registry.rs
+++ b/crates/route/tests/registry.rs
@@ -115,6 +115,18 @@
     assert!(is_open(&registry, now + Duration::from_secs(2)));
 }
 
+/// Guards against a grace period that is counted anew from each removal.
+#[test]
+fn a_removal_late_in_the_grace_period_takes_effect_at_its_end() {
+    let now = Instant::now();
+    let mut registry = TargetRegistry::default();
+    registry.apply(heartbeat(1, 1, false));
+    registry.list_reconnected(now);
+    registry.remove("t", now + Duration::from_millis(1_500));
+    assert!(is_open(&registry, now + Duration::from_millis(1_600)));
+    assert!(!is_open(&registry, now + Duration::from_secs(2)));
+}
+
 #[test]
 fn a_complete_new_copy_removes_the_targets_that_it_lacks() {
     let now = Instant::now();
