--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -41,6 +41,9 @@
     recent_until: Instant,
     /// Whether the last read failed.
     store_failed: bool,
+    /// Whether the shared state still has targets whose removal takes effect
+    /// later.
+    has_pending_removals: bool,
     /// Backoff and timeout of the reads, which all hosts may be making.
     backoff: ReadBackoff,
     /// Number of heartbeats with other weight versions since they were logged.
@@ -56,16 +59,16 @@
         next: None,
         recent_until: Instant::now(),
         store_failed: false,
+        has_pending_removals: false,
         backoff: ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT),
         version_changes: 0,
         log_versions_at: Instant::now(),
     };
     loop {
-        let has_pending_removals = controller.registry.has_pending_removals(Instant::now());
         let began = Instant::now();
         match controller.read(&app).await {
             Ok(change) => {
-                if change > Update::Unchanged || has_pending_removals {
+                if change > Update::Unchanged || controller.has_pending_removals {
                     controller.publish(&app);
                 }
             }
@@ -185,6 +188,7 @@
     fn publish(&mut self, app: &App) {
         let now = Instant::now();
         self.registry.prune(now);
+        self.has_pending_removals = self.registry.has_pending_removals(now);
         let present: Vec<_> = self.registry.present(now).cloned().collect();
         for heartbeat in &present {
             for (model, version) in &heartbeat.versions {
--- a/crates/trials/tests/platform_recovery.rs
+++ b/crates/trials/tests/platform_recovery.rs
@@ -1,6 +1,7 @@
 //! All processes end at once while the log is long and the links to the store
 //! are slow.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,6 +10,7 @@
 use cassia_jobs::JobRecord;
 use cassia_standin::Proxy;
 use cassia_standin::TargetSpec;
+use cassia_standin::TargetStandin;
 use cassia_trials::PARTITIONS;
 use cassia_trials::PlatformEnv;
 use cassia_trials::Process;
@@ -224,3 +226,48 @@
     assert!(healed.elapsed() < RECOVERY_LIMIT, "{:?}", healed.elapsed());
     Ok(())
 }
+
+/// Guards against a target that still gets requests though it was removed from
+/// the list just after an outage, when removals take effect later, since nothing else
+/// changes then.
+#[rstest]
+#[case::short_outage(Duration::from_millis(1_500), Duration::from_secs(5))]
+#[tokio::test]
+async fn a_target_removed_after_an_outage_gets_no_requests(
+    #[case] outage: Duration,
+    #[case] limit: Duration,
+) -> anyhow::Result<()> {
+    /// When the target is removed, after the end of the outage.
+    const REMOVED_AFTER: Duration = Duration::from_millis(900);
+    const LOAD_AFTER_LIMIT: Duration = Duration::from_secs(3);
+    let env = PlatformEnv::start().await?.with_targets(0, 1).await?;
+    let link = Proxy::start(env.store.addr()).await?;
+    let leaving = Arc::new(
+        TargetStandin::start(TargetSpec {
+            id: "leaving".to_owned(),
+            service: "intake".to_owned(),
+            model: None,
+            events: 0,
+            delay: Duration::from_millis(5),
+        })
+        .await?,
+    );
+    leaving.send_heartbeat(&env.store);
+    let process = env.start_process_with_store("h1", link.addr()).await?;
+    wait_until_serving(&env, &process).await?;
+    link.set_blocked(true);
+    sleep(outage).await;
+    link.stall_connections();
+    link.set_blocked(false);
+    let healed = Instant::now();
+    sleep(REMOVED_AFTER).await;
+    env.store.put("keyed.servers", "leaving", None);
+    while healed.elapsed() < limit + LOAD_AFTER_LIMIT {
+        env.request(&process, "/quote/1", "r1").await;
+        sleep(Duration::from_millis(30)).await;
+    }
+    let limit = healed + limit;
+    let late = leaving.runs().iter().filter(|run| run.started > limit).count();
+    assert_eq!(late, 0, "requests reached the removed target");
+    Ok(())
+}
