Targets: the end of an outage is noticed by small calls to the store

Joins of the group are small: they are tried every 200 ms while they fail, and their first success starts the next read of the targets, whatever an older read still waits for, and the grace period.

The trial's long outage failed before (73 requests later than 3 s after it) and passes.

--- a/crates/route/src/registry.rs
+++ b/crates/route/src/registry.rs
@@ -156,8 +156,17 @@
     /// Returns whether some target counts as removed only after `now`.
     #[must_use]
     pub fn has_pending_removals(&self, now: Instant) -> bool {
-        let is_pending = |e: &Entry| matches!(e.presence, Presence::RemovedAt(at) if now < at);
-        self.entries.values().any(is_pending)
+        self.next_removal(now).is_some()
+    }
+
+    /// Returns when the next target counts as removed, if that is after `now`.
+    #[must_use]
+    pub fn next_removal(&self, now: Instant) -> Option<Instant> {
+        let removals = self.entries.values().filter_map(|entry| match entry.presence {
+            Presence::Present => None,
+            Presence::RemovedAt(at) => Some(at),
+        });
+        removals.filter(|at| now < *at).min()
     }
 
     /// Returns the present targets, for `TargetSet::updated`.
--- a/crates/serve/src/ownership.rs
+++ b/crates/serve/src/ownership.rs
@@ -22,11 +22,15 @@
 const MEMBER_TTL: Duration = Duration::from_millis(1_500);
 /// How often the membership is renewed.
 const RENEW_INTERVAL: Duration = Duration::from_millis(400);
+/// How often it is tried while the store doesn't answer. These calls are small,
+/// so they show first that the store is back.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Runs until a planned stop, then leaves the group.
 pub(crate) async fn run(app: Arc<App>) {
     let mut generation = 0;
+    let mut store_failed = false;
     let mut runners: BTreeMap<u32, JoinHandle<()>> = BTreeMap::new();
     while !app.state.is_stopping() {
         let deadline = Instant::now() + CALL_TIMEOUT;
@@ -36,6 +40,9 @@
             .await;
         match joined {
             Ok(assignment) => {
+                if std::mem::take(&mut store_failed) {
+                    app.state.store_back_at.send_replace(Some(Instant::now()));
+                }
                 generation = assignment.generation;
                 let count = app.settings.store_parts;
                 let is_run_here = |partition: &u32| {
@@ -48,9 +55,13 @@
             }
             // The partitions are kept until the store reassigns them. If two
             // processes run the same job meanwhile, that only costs work.
-            Err(e) => log::debug!(event = "join_failed", step = e.step; "{e}"),
+            Err(e) => {
+                store_failed = true;
+                log::debug!(event = "join_failed", step = e.step; "{e}");
+            }
         }
-        app.state.sleep_unless_stopping(RENEW_INTERVAL).await;
+        let interval = if store_failed { RETRY_INTERVAL } else { RENEW_INTERVAL };
+        app.state.sleep_unless_stopping(interval).await;
     }
     set_owned(&app, &mut runners, BTreeSet::new(), generation);
     let deadline = Instant::now() + CALL_TIMEOUT;
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -5,6 +5,7 @@
 //! | `routes`, `wanted` | the configuration controller | all |
 //! | `targets`, `versions` | the targets controller, and requests by their outcomes | all |
 //! | `store_lost_at` | the targets controller | calls about batch jobs, readiness |
+//! | `store_back_at` | the ownership controller | the targets controller |
 //! | `owned` | the ownership controller | the runners |
 //! | `duty_rank` | the ownership controller | the weights controller |
 //! | `stopping` | the main task | all |
@@ -67,6 +68,8 @@
     pub(crate) stopping: watch::Sender<bool>,
     /// When this process lost the store; `None` while it can read it.
     pub(crate) store_lost_at: ArcSwapOption<Instant>,
+    /// When the store answered again after small calls to it had failed.
+    pub(crate) store_back_at: watch::Sender<Option<Instant>>,
     /// Notified when a slot of an engine may have become free.
     pub(crate) slot_freed: Notify,
     /// Notified when a target begins or ceases to state a rate limit.
@@ -88,6 +91,7 @@
             owned: watch::Sender::new(BTreeSet::new()),
             stopping: watch::Sender::new(false),
             store_lost_at: ArcSwapOption::empty(),
+            store_back_at: watch::Sender::new(None),
             slot_freed: Notify::new(),
             target_limited: Notify::new(),
             versions: Mutex::default(),
--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -25,6 +25,9 @@
 /// changes. Targets repeat their heartbeats, so the changes of a longer time are
 /// larger than the snapshot.
 const MAX_CHANGES_AGE: Duration = Duration::from_secs(2);
+/// How long before the first read the store may have been back, for the removals
+/// in it to be counted from then on.
+const MAX_STORE_BACK_AGE: Duration = Duration::from_secs(1);
 /// Timeout of a read after none failed.
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 /// How often the number of changed weight versions is logged.
@@ -64,9 +67,16 @@
         version_changes: 0,
         log_versions_at: Instant::now(),
     };
+    let mut store_back = app.state.store_back_at.subscribe();
     loop {
         let began = Instant::now();
-        match controller.read(&app).await {
+        let store_failed = controller.store_failed;
+        let read = tokio::select! {
+            read = controller.read(&app) => read,
+            // A read that was sent before the store was back may never end.
+            _ = store_back.changed(), if store_failed => continue,
+        };
+        match read {
             Ok(change) => {
                 if change > Update::Unchanged || controller.has_pending_removals {
                     controller.publish(&app);
@@ -75,9 +85,11 @@
             Err(e) => controller.record_failure(&app, &e, began),
         }
         controller.log_versions();
-        app.state
-            .sleep_unless_stopping(controller.backoff.delay(READ_INTERVAL, rand::random()))
-            .await;
+        let store_failed = controller.store_failed;
+        tokio::select! {
+            () = app.state.sleep_unless_stopping(controller.delay(Instant::now())) => {}
+            _ = store_back.changed(), if store_failed => {}
+        }
         if app.state.is_stopping() {
             tokio::time::sleep(READ_INTERVAL).await;
         }
@@ -85,6 +97,14 @@
 }
 
 impl TargetsController {
+    /// Returns the delay before the next read: not beyond the time at which a
+    /// removed target counts as removed.
+    fn delay(&self, now: Instant) -> Duration {
+        let delay = self.backoff.delay(READ_INTERVAL, rand::random());
+        let removal = self.registry.next_removal(now);
+        removal.map_or(delay, |at| delay.min(at.saturating_duration_since(now)))
+    }
+
     async fn read(&mut self, app: &App) -> Result<Update, StoreError> {
         let next = self.next.filter(|_| Instant::now() < self.recent_until);
         let records = match next {
@@ -167,7 +187,12 @@
         self.backoff.record_success();
         if std::mem::take(&mut self.store_failed) {
             app.state.store_lost_at.store(None);
-            self.registry.list_reconnected(Instant::now());
+            let now = Instant::now();
+            // If other calls have succeeded for long, it was this topic that
+            // was away.
+            let store_back_at = *app.state.store_back_at.borrow();
+            let is_recent = |at: &Instant| now < *at + MAX_STORE_BACK_AGE;
+            self.registry.list_reconnected(store_back_at.filter(is_recent).unwrap_or(now));
             log::info!(event = "store_back", step = "targets"; "the store can be read again");
         }
     }
--- a/crates/trials/tests/platform_recovery.rs
+++ b/crates/trials/tests/platform_recovery.rs
@@ -228,10 +228,11 @@
 }
 
 /// Guards against a target that still gets requests though it was removed from
-/// the list just after an outage, when removals take effect later, since nothing else
-/// changes then.
+/// the list just after an outage, when removals take effect later: since nothing
+/// else changes then, or since the host notices the end of the outage late.
 #[rstest]
 #[case::short_outage(Duration::from_millis(1_500), Duration::from_secs(5))]
+#[case::long_outage(Duration::from_secs(8), Duration::from_secs(3))]
 #[tokio::test]
 async fn a_target_removed_after_an_outage_gets_no_requests(
     #[case] outage: Duration,
