Orders: a planned stop of the holder hands the lease over to its host's next process

Cause: a stopping holder gave no orders until it could release the lease, the release was for any host, and a holder that had not waited could not release at all. Not the cause by itself: that hosts without jobs contend; that moved the lease to other hosts, with other luck in the order of the restarts.

Now the holder gives orders until its last request is served and hands the lease over with what is left of the time between two hosts' orders. The next process of that host goes on at once, others wait. In the log this is a renewal with one more field: programs before this one see a lease that expires.

The two tests of planned stops are new; that of stops one after the other failed before (95 steps).

--- a/crates/lab/src/capacity.rs
+++ b/crates/lab/src/capacity.rs
@@ -381,6 +381,7 @@
             nonce,
             kind,
             quiesced: false,
+            wait_ms: None,
         })
     };
     let mut table = LeaseTable::default();
--- a/crates/lease/src/client.rs
+++ b/crates/lease/src/client.rs
@@ -36,6 +36,9 @@
     /// Whether no process on another host can have acted on it recently; if
     /// not, the previous holder may have acted until its lease expired.
     pub quiesced: bool,
+    /// From when on this process may act, if the previous holder handed the
+    /// lease over.
+    pub quiet_until: Option<Instant>,
 }
 
 impl HeldLease {
@@ -44,7 +47,15 @@
     /// this one was acquired, so a quiet period must pass first.
     #[must_use]
     pub fn may_act(&self, now: Instant, quiet_period: Duration) -> bool {
-        self.quiesced || now >= self.since + quiet_period
+        now >= self.acts_from(quiet_period)
+    }
+
+    /// Returns from when on the holder may act on the lease.
+    fn acts_from(&self, quiet_period: Duration) -> Instant {
+        if self.quiesced {
+            return self.since;
+        }
+        self.quiet_until.unwrap_or(self.since + quiet_period)
     }
 }
 
@@ -149,21 +160,34 @@
         let (fence, until) = self.contender.held().filter(|(_, until)| now < *until)?;
         let (_, since) = self.since.filter(|(held, _)| *held == fence)?;
         let lease = self.replica.state().get(self.contender.resource());
-        let quiesced = lease.is_some_and(|lease| lease.fence == fence && lease.quiesced);
-        Some(HeldLease { fence, since, until, quiesced })
+        let lease = lease.filter(|lease| lease.fence == fence);
+        let quiesced = lease.is_some_and(|lease| lease.quiesced);
+        // The wait was stated before this process saw the lease handed over.
+        let wait = lease.and_then(|lease| lease.wait_ms).map(Duration::from_millis);
+        let quiet_until = wait.zip(self.contender.superseded_at()).map(|(wait, at)| at + wait);
+        Some(HeldLease { fence, since, until, quiesced, quiet_until })
     }
 
-    /// Releases the lease; returns `None` if it is not held.
+    /// Releases the lease or hands it over; returns `None` if it is not held.
+    /// The caller must not act on it any more.
     ///
-    /// The next holder relies on nobody having acted on the lease for a quiet
-    /// period. The caller must ensure this for its own actions. If a previous
-    /// holder may have acted within that period, the lease is left to expire
-    /// instead.
-    pub fn release(&mut self, now: Instant) -> Option<LeaseOp> {
-        let (held, quiet_period) = (self.held_lease(now), self.quiet_period);
+    /// A holder on another host must not act before `quiet_until`, because of
+    /// this process's own actions, nor within the quiet period of the previous
+    /// holder. Until then the lease is handed over rather than released: the next
+    /// process of this host may act at once, others learn how long to wait.
+    pub fn release(&mut self, now: Instant, quiet_until: Option<Instant>) -> Option<LeaseOp> {
+        let held = self.held_lease(now)?;
         self.since = None;
-        let op = self.contender.release(now)?;
-        held.filter(|held| held.may_act(now, quiet_period)).map(|_| op)
+        let quiet_until = held.acts_from(self.quiet_period).max(quiet_until.unwrap_or(now));
+        let left = quiet_until.saturating_duration_since(now);
+        if left.is_zero() {
+            return self.contender.release(now);
+        }
+        // Rounded up.
+        let wait_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).saturating_add(1);
+        let mut op = self.contender.hand_over(now, wait_ms)?;
+        op.quiesced = held.may_act(now, self.quiet_period);
+        Some(op)
     }
 
     fn update_since(&mut self, now: Instant) {
--- a/crates/lease/src/contender.rs
+++ b/crates/lease/src/contender.rs
@@ -20,6 +20,9 @@
 /// Contenders of neighbouring ranks claim a sixth of a term apart, which
 /// leaves time for a claim to be seen.
 const CLAIMS_PER_TERM: u32 = 6;
+/// How long a lease that was handed over is left to the next process of the same
+/// host, in percent of a term.
+const RESTART_GRACE_PERCENT: u32 = 80;
 /// Number of operations with unknown outcome whose send time is kept.
 const MAX_PENDING_OPS: usize = 16;
 
@@ -42,8 +45,8 @@
     /// Duration of a term, the same for all contenders of a lease.
     term: Term,
     next_nonce: u64,
-    /// Send time of each own operation, by nonce.
-    sent: BTreeMap<u64, Instant>,
+    /// Own operations whose outcome is not known yet, by nonce.
+    sent: BTreeMap<u64, SentOp>,
     /// The newest record of the lease that was seen, and when.
     seen: Seen,
     /// The lease as held by this process, by its own clock.
@@ -65,10 +68,20 @@
     at: Instant,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct SentOp {
+    /// When it was sent.
+    at: Instant,
+    /// When the newest record at that time was seen.
+    seen_at: Instant,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Held {
     fence: Fence,
     until: Instant,
+    /// When this process saw the record that its claim supersedes.
+    superseded_at: Instant,
 }
 
 impl Contender {
@@ -142,17 +155,15 @@
         }
         match (self.fence(now), table.get(&self.resource)) {
             (Some(fence), _) => self.renew_if_due(now, fence),
-            (None, Some(lease)) if lease.boot == self.boot && !lease.released => {
+            (None, Some(lease)) if lease.boot == self.boot && lease.is_held() => {
                 // Expired by the local clock, but nobody claimed it: renewing
                 // is as good as claiming and keeps the fencing token.
                 let fence = lease.fence;
                 self.append(now, OpKind::Renew { fence })
             }
             (None, current) => {
-                let free =
-                    current.is_some_and(|lease| lease.released) || self.held_by_predecessor(table);
                 let supersedes = current.map(|lease| lease.last);
-                self.claim_if_due(now, free, supersedes)
+                self.claim_if_due(now, self.claim_delay(table), supersedes)
             }
         }
     }
@@ -168,6 +179,24 @@
         }
     }
 
+    /// Hands the lease over before a planned stop; returns `None` if it is not
+    /// held. Processes of other hosts must wait for `wait_ms` before they act.
+    pub fn hand_over(&mut self, now: Instant, wait_ms: u64) -> Option<LeaseOp> {
+        let fence = self.fence(now)?;
+        self.held = None;
+        match self.append(now, OpKind::Renew { fence }) {
+            NextOp::Append(op) => Some(LeaseOp { wait_ms: Some(wait_ms), ..op }),
+            NextOp::WaitUntil(_) => None,
+        }
+    }
+
+    /// Returns when this process saw the record that its claim of the held lease
+    /// superseded.
+    #[must_use]
+    pub fn superseded_at(&self) -> Option<Instant> {
+        self.held.map(|held| held.superseded_at)
+    }
+
     /// Updates the state from the table without contending.
     pub fn observe(&mut self, now: Instant, table: &LeaseTable) {
         self.note_lease(now, table);
@@ -187,7 +216,7 @@
             return;
         }
         self.seen = Seen { last: Some(lease.last), at: now };
-        if lease.boot != self.boot || lease.released {
+        if lease.boot != self.boot || !lease.is_held() {
             self.held = None;
             return;
         }
@@ -195,7 +224,10 @@
         // its response. Challengers measure it from when they see the record,
         // which is later.
         if let Some(sent) = self.sent.remove(&lease.nonce) {
-            self.held = Some(Held { fence: lease.fence, until: sent + self.term });
+            let before = self.held.filter(|held| held.fence == lease.fence);
+            let superseded_at = before.map_or(sent.seen_at, |held| held.superseded_at);
+            self.held =
+                Some(Held { fence: lease.fence, until: sent.at + self.term, superseded_at });
             self.next_op_at = now;
         }
         self.sent.retain(|&nonce, _| nonce > lease.nonce);
@@ -210,9 +242,22 @@
         self.append(now, OpKind::Renew { fence })
     }
 
-    fn claim_if_due(&mut self, now: Instant, free: bool, supersedes: Option<Offset>) -> NextOp {
-        let term = if free { Term::ZERO } else { self.term };
-        let due = self.seen.at + term + self.stagger;
+    /// Returns how long after the last record of the lease this process may
+    /// claim it, apart from its rank.
+    fn claim_delay(&self, table: &LeaseTable) -> Term {
+        let lease = table.get(&self.resource);
+        if lease.is_some_and(|lease| lease.released) || self.held_by_predecessor(table) {
+            Term::ZERO
+        } else if lease.is_some_and(|lease| lease.handed_over) {
+            // The next process of that host may act at once, this one may not.
+            self.term * RESTART_GRACE_PERCENT / 100
+        } else {
+            self.term
+        }
+    }
+
+    fn claim_if_due(&mut self, now: Instant, delay: Term, supersedes: Option<Offset>) -> NextOp {
+        let due = self.seen.at + delay + self.stagger;
         if now < due {
             return NextOp::WaitUntil(due);
         }
@@ -222,7 +267,7 @@
     fn append(&mut self, now: Instant, kind: OpKind) -> NextOp {
         let nonce = self.next_nonce;
         self.next_nonce += 1;
-        self.sent.insert(nonce, now);
+        self.sent.insert(nonce, SentOp { at: now, seen_at: self.seen.at });
         while self.sent.len() > MAX_PENDING_OPS {
             self.sent.pop_first();
         }
@@ -234,6 +279,7 @@
             nonce,
             kind,
             quiesced: false,
+            wait_ms: None,
         })
     }
 }
--- a/crates/lease/src/table.rs
+++ b/crates/lease/src/table.rs
@@ -48,6 +48,10 @@
     /// on another host can have acted on the lease recently.
     #[serde(default, rename = "clear", skip_serializing_if = "std::ops::Not::not")]
     pub quiesced: bool,
+    /// On a renewal: the holder hands the lease over and acts no more. A process
+    /// of another host must wait this long before it acts, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub wait_ms: Option<u64>,
 }
 
 /// The kinds of operations.
@@ -91,6 +95,14 @@
     /// previous holder released it, or this one has waited for a quiet period.
     #[serde(default, rename = "clear")]
     pub quiesced: bool,
+    /// How long a holder on another host than the previous one must wait before
+    /// it acts, in milliseconds, if the previous one handed the lease over. While
+    /// that one is still listed as the holder, the lease is free.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub wait_ms: Option<u64>,
+    /// Whether the listed holder has handed the lease over.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub handed_over: bool,
 }
 
 /// The outcome of applying a record.
@@ -128,13 +140,16 @@
                 if supersedes != current.as_ref().map(|l| l.last) {
                     return OpOutcome::Refused;
                 }
-                let quiesced = match &current {
+                let (quiesced, wait_ms) = match &current {
                     // No record means no earlier holder, unless records are
                     // lost.
-                    None => !self.reset,
-                    Some(lease) => lease.released || (lease.quiesced && lease.holder == op.holder),
+                    None => (!self.reset, None),
+                    Some(lease) if lease.released => (true, None),
+                    Some(lease) if lease.quiesced && lease.holder == op.holder => (true, None),
+                    Some(lease) if lease.handed_over => (false, lease.wait_ms),
+                    Some(_) => (false, None),
                 };
-                let lease = Lease::from_claim(offset, op, quiesced);
+                let lease = Lease { quiesced, wait_ms, ..Lease::from_claim(offset, op) };
                 self.leases.insert(op.resource.clone(), lease);
                 OpOutcome::Accepted
             }
@@ -146,7 +161,12 @@
 }
 
 impl Lease {
-    fn from_claim(offset: Offset, op: &LeaseOp, quiesced: bool) -> Self {
+    /// Returns whether the listed holder may still act on the lease.
+    pub(crate) fn is_held(&self) -> bool {
+        !self.released && !self.handed_over
+    }
+
+    fn from_claim(offset: Offset, op: &LeaseOp) -> Self {
         Self {
             holder: op.holder.clone(),
             boot: op.boot,
@@ -154,18 +174,24 @@
             last: offset,
             nonce: op.nonce,
             released: false,
-            quiesced,
+            quiesced: false,
+            wait_ms: None,
+            handed_over: false,
         }
     }
 
     fn update(&mut self, offset: Offset, op: &LeaseOp, fence: Fence, released: bool) -> OpOutcome {
-        if self.fence != fence || self.boot != op.boot || self.released {
+        if self.fence != fence || self.boot != op.boot || !self.is_held() {
             return OpOutcome::Refused;
         }
         self.last = offset;
         self.nonce = op.nonce;
         self.released = released;
         self.quiesced |= op.quiesced;
+        if op.wait_ms.is_some() {
+            self.wait_ms = op.wait_ms;
+            self.handed_over = true;
+        }
         OpOutcome::Accepted
     }
 }
--- a/crates/lease/tests/client.rs
+++ b/crates/lease/tests/client.rs
@@ -82,6 +82,12 @@
 /// Simulates three clients; returns the number of steps in which one of them
 /// held the lease.
 fn simulate(steps: &[[Behaviour; 3]], expire: bool) -> usize {
+    simulate_actions(steps, expire).0
+}
+
+/// Simulates three clients; returns the number of steps in which one of them
+/// held the lease, and the steps in which one of them acted.
+fn simulate_actions(steps: &[[Behaviour; 3]], expire: bool) -> (usize, Vec<usize>) {
     let start = Instant::now();
     let mut stream = Stream::default();
     let client = |n: u64| {
@@ -92,6 +98,7 @@
     let mut in_flight: Vec<(usize, LeaseRecord)> = Vec::new();
     let (mut highest_fence, mut held_steps) = (0, 0);
     let mut last_action: [Option<Instant>; 3] = [None; 3];
+    let mut acted = Vec::new();
     let mut last_boot = 3;
     for (step, behaviours) in steps.iter().enumerate() {
         let now = start + STEP * u32::try_from(step).expect("fits u32");
@@ -111,11 +118,8 @@
             }
             stream.read_into(client, now);
             if matches!(behaviour, Behaviour::Release) {
-                // Only after a quiet period since its own last action.
-                if last_action[n].is_some_and(|at| now < at + QUIET_PERIOD) {
-                    continue;
-                }
-                if let Some(op) = client.release(now) {
+                let quiet_until = last_action[n].map(|at| at + QUIET_PERIOD);
+                if let Some(op) = client.release(now, quiet_until) {
                     stream.append(LeaseRecord::Op(op));
                 }
                 continue;
@@ -140,6 +144,7 @@
                 let last_other = others.max();
                 assert!(last_other.is_none_or(|at| now >= at + QUIET_PERIOD), "at step {step}");
                 last_action[n] = Some(now);
+                acted.push(step);
             }
         }
         let holders: Vec<_> = clients.iter().filter_map(|client| client.held_lease(now)).collect();
@@ -150,7 +155,7 @@
             held_steps += 1;
         }
     }
-    held_steps
+    (held_steps, acted)
 }
 
 proptest! {
@@ -193,6 +198,65 @@
     }
 }
 
+/// Guards against a quiet period that begins anew with each holder that is
+/// stopped in it: while all hosts are restarted in turn, nobody would act.
+#[test]
+fn holders_that_are_stopped_before_they_act_pass_on_what_is_left_of_the_quiet_period() {
+    // The first holder goes silent at step 30. Its lease expires two seconds
+    // later, and the quiet period is over three seconds after that.
+    let mut steps = vec![[Behaviour::Normal; 3]; 30];
+    steps.extend([[Behaviour::Paused, Behaviour::Normal, Behaviour::Normal]; 90]);
+    let (_, acted) = simulate_actions(&steps, false);
+    assert!(acted.iter().any(|step| (31..85).contains(step)), "without a release: {acted:?}");
+    for release_at in 51..80 {
+        let mut steps = steps.clone();
+        // Both of the others are told to stop, one after the other.
+        steps[release_at][1] = Behaviour::Release;
+        steps[release_at + 5][2] = Behaviour::Release;
+        let (_, acted) = simulate_actions(&steps, false);
+        let resumed = acted.iter().find(|step| **step > 31);
+        assert!(resumed.is_some_and(|step| *step < 95), "released at {release_at}: {resumed:?}");
+    }
+}
+
+/// Guards against a pause of a whole quiet period at each planned stop, while
+/// all hosts are restarted in turn: the same host may act again at once.
+#[test]
+fn a_host_that_is_restarted_as_planned_acts_again_at_once() {
+    let mut steps = vec![[Behaviour::Normal, Behaviour::Normal, Behaviour::Normal]; 120];
+    let (_, acted) = simulate_actions(&steps, false);
+    assert!(acted.contains(&59) && acted.contains(&60), "somebody acts all the time");
+    // Whoever holds the lease hands it over, is down for half a second and
+    // restarts.
+    steps[60] = [Behaviour::Release; 3];
+    for step in &mut steps[61..65] {
+        *step = [Behaviour::Paused; 3];
+    }
+    steps[65] = [Behaviour::Restart; 3];
+    let (_, acted) = simulate_actions(&steps, false);
+    let resumed = acted.iter().find(|step| **step > 60);
+    assert!(resumed.is_some_and(|step| *step <= 70), "{resumed:?}");
+}
+
+/// Guards against a host that never comes back: another one takes over.
+#[test]
+fn another_host_acts_after_the_quiet_period_if_the_holder_does_not_come_back() {
+    let steps = vec![[Behaviour::Normal; 3]; 60];
+    for gone in 0..3 {
+        let mut steps = steps.clone();
+        let mut release = [Behaviour::Normal; 3];
+        release[gone] = Behaviour::Release;
+        let mut after = [Behaviour::Normal; 3];
+        after[gone] = Behaviour::Paused;
+        steps.push(release);
+        steps.extend([after; 60]);
+        let (_, acted) = simulate_actions(&steps, false);
+        let resumed = acted.iter().find(|step| **step > 61);
+        // 3 s of quiet, and the time to claim and to read the claim.
+        assert!(resumed.is_some_and(|step| *step <= 61 + 36), "host {gone}: {resumed:?}");
+    }
+}
+
 #[test]
 fn a_restarted_host_takes_over_its_own_lease_immediately() {
     let mut steps = vec![[Behaviour::Normal; 3]; 80];
--- a/crates/lease/tests/contender.rs
+++ b/crates/lease/tests/contender.rs
@@ -193,6 +193,7 @@
             nonce,
             kind,
             quiesced: false,
+            wait_ms: None,
         })
     };
     let mut table = LeaseTable::default();
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -78,6 +78,7 @@
     ingress::wait_for_stop_signal(&app).await?;
     let deadline = Instant::now() + settings.stop_limit();
     server.stop(settings.stop_limit()).await;
+    app.state.drained.send_replace(true);
     for (task, step) in [(ownership, "runners"), (weights, "orders")] {
         // In an outage of the store, results and the lease can't be handed on.
         // The jobs go on elsewhere without them, and the lease expires.
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -9,6 +9,7 @@
 //! | `owned` | the ownership controller | the runners |
 //! | `duty_rank` | the ownership controller | the weights controller |
 //! | `stopping` | the main task | all |
+//! | `drained` | the main task | the weights controller |
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -66,6 +67,8 @@
     pub(crate) owned: watch::Sender<BTreeSet<u32>>,
     /// Whether a planned stop has begun.
     pub(crate) stopping: watch::Sender<bool>,
+    /// Whether a planned stop has served its last request.
+    pub(crate) drained: watch::Sender<bool>,
     /// When this process lost the store; `None` while it can read it.
     pub(crate) store_lost_at: ArcSwapOption<Instant>,
     /// When the store answered again after small calls to it had failed.
@@ -90,6 +93,7 @@
             duty_rank: ArcSwapOption::empty(),
             owned: watch::Sender::new(BTreeSet::new()),
             stopping: watch::Sender::new(false),
+            drained: watch::Sender::new(false),
             store_lost_at: ArcSwapOption::empty(),
             store_back_at: watch::Sender::new(None),
             slot_freed: Notify::new(),
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -35,6 +35,7 @@
 use smol_str::format_smolstr;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 use crate::app::App;
 use crate::order;
@@ -66,13 +67,15 @@
 
 const PARTITION: PartitionRef<'static> = PartitionRef { topic: STREAM, partition: 0 };
 
-/// Runs until a planned stop, then releases the lease.
+/// Runs until a planned stop has served its last request, then hands the lease
+/// over. A process that does not hold the lease ends as soon as the stop begins.
 pub(crate) async fn run(app: Arc<App>) {
     let mut controller = WeightsController::new(&app);
+    let mut drained = app.state.drained.subscribe();
     controller.read_at_start(&app).await;
-    while !app.state.is_stopping() {
+    while !*drained.borrow() && (!app.state.is_stopping() || controller.held_fence.is_some()) {
         let rank = app.state.duty_rank.load().as_deref().copied();
-        let rank = rank.filter(|rank| *rank < MAX_CONTENDERS);
+        let rank = rank.filter(|rank| *rank < MAX_CONTENDERS && !app.state.is_stopping());
         if let Some(rank) = rank {
             controller.lease.set_rank(rank);
         }
@@ -82,7 +85,8 @@
         {
             controller.round(&app).await;
         }
-        app.state.sleep_unless_stopping(ROUND_INTERVAL).await;
+        // The sender lives as long as the shared state.
+        let _ = timeout(ROUND_INTERVAL, drained.wait_for(|drained| *drained)).await;
     }
     controller.stop(&app).await;
 }
@@ -223,8 +227,8 @@
         append(app, &LeaseRecord::Reset).await
     }
 
-    /// Keeps the lease until the next holder may send orders immediately, then
-    /// releases it.
+    /// Hands the lease over. The next process of this host may send orders at
+    /// once; other hosts wait for the minimum time after the last order.
     async fn stop(&mut self, app: &App) {
         if !self.orders.is_empty() {
             // One of them may have just been sent.
@@ -233,15 +237,7 @@
         }
         let min_interval = Duration::from_millis(app.settings.lease_ms);
         let quiet_until = self.last_order_arrival.map(|arrival| arrival + min_interval);
-        while self.held_fence.is_some() && quiet_until.is_some_and(|until| app.clock.now() < until)
-        {
-            if let Err(e) = self.contend(app).await {
-                log::debug!(event = "store_away", step = e.step; "{e}");
-            }
-            self.update_held(self.lease.held_lease(app.clock.now()));
-            tokio::time::sleep(ROUND_INTERVAL).await;
-        }
-        let Some(op) = self.lease.release(app.clock.now()) else {
+        let Some(op) = self.lease.release(app.clock.now(), quiet_until) else {
             return;
         };
         self.update_held(None);
--- a/crates/trials/tests/platform_orders.rs
+++ b/crates/trials/tests/platform_orders.rs
@@ -18,6 +18,7 @@
 
 #[rstest]
 #[case::killed("kill")]
+#[case::stopped("stop")]
 #[case::frozen("freeze")]
 #[case::rebalanced("rebalance")]
 #[tokio::test]
@@ -31,15 +32,16 @@
     anyhow::ensure!(eventually(sent).await, "no order was sent");
     let holder = env.store.owner("runners", 0).context("an owner")?;
     let first = processes.iter().find(|(host, _)| *host == holder).context("the holder")?;
+    let signal = |signal| {
+        // `Process::kill` needs `&mut`. Dropping the process kills it again,
+        // which has no effect.
+        let pid = nix::unistd::Pid::from_raw(i32::try_from(first.1.id())?);
+        anyhow::Ok(nix::sys::signal::kill(pid, signal)?)
+    };
     match fault {
-        "kill" => {
-            // `Process::kill` needs `&mut`. Dropping the process kills it again,
-            // which has no effect.
-            nix::sys::signal::kill(
-                nix::unistd::Pid::from_raw(i32::try_from(first.1.id())?),
-                nix::sys::signal::Signal::SIGKILL,
-            )?;
-        }
+        "kill" => signal(nix::sys::signal::Signal::SIGKILL)?,
+        // It hands the lease over, and its host does not come back.
+        "stop" => signal(nix::sys::signal::Signal::SIGTERM)?,
         "freeze" => first.1.freeze(),
         _ => env.store.rebalance(),
     }
