--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -53,7 +53,10 @@
 const MAX_HEAD_BYTES: usize = 32 << 10;
 /// How many bytes a connection reads until a head is known: informational
 /// responses and the head. The start of the body may come with the head.
-const MAX_BYTES_TO_HEAD: usize = 2 * MAX_HEAD_BYTES;
+const MAX_BYTES_TO_HEAD: usize = MAX_INFORMATIONAL_BYTES + MAX_HEAD_BYTES;
+/// Size of all informational responses before a head. A target that sends them
+/// without end costs processor time for each byte of them.
+const MAX_INFORMATIONAL_BYTES: usize = 4 << 10;
 /// Header by which a target states that it did not run the request.
 const NOT_RUN_HEADER: &str = "cassia-not-run";
 
