Serve: the attempts of a request have a file of their own; shares without a count to 10,000

The number of hosts that share a rate is counted over the hosts. Reads of crash reports pause after a failure also in a planned stop.

--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -43,7 +43,8 @@
     served.sort_by_cached_key(|demand| {
         (Reverse(to_milli(demand.wanted)), rendezvous_weight(target, &demand.host))
     });
-    served.truncate(max_hosts(limit));
+    let max_hosts = (limit * MAX_HOSTS_PER_RATE).max(1.0);
+    served.truncate((1..=demands.len()).take_while(|n| to_f64(*n) <= max_hosts).count());
     let Some(own) = served.iter().position(|demand| demand.host == own) else {
         return 0.0;
     };
@@ -60,13 +61,6 @@
     0.0
 }
 
-/// Number of hosts that may share a rate.
-fn max_hosts(limit: f64) -> usize {
-    let hosts = (limit * MAX_HOSTS_PER_RATE).max(1.0);
-    // Far more hosts than there can be.
-    (1..10_000).take_while(|n| to_f64(*n) <= hosts).last().unwrap_or(1)
-}
-
 /// The rate that the hosts share, such that the target tolerates it even if each
 /// of them has a request ready at the same moment.
 fn total_rate(limit: f64, hosts: usize) -> f64 {
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -35,6 +35,8 @@
 use tokio::time::sleep_until;
 
 use crate::app::App;
+use crate::attempts::Attempts;
+use crate::attempts::is_target_failure;
 use crate::response::Body;
 use crate::response::Refusal;
 use crate::response::full_body;
@@ -425,78 +427,6 @@
     }
 }
 
-/// The attempts of one request so far.
-#[derive(Debug, Default)]
-struct Attempts {
-    sent: u32,
-    refusals: u32,
-    may_have_run: bool,
-    start_another: bool,
-    last_refused: bool,
-    /// Why no target was found, if not for want of one.
-    no_target: Option<Refusal>,
-    /// Targets that the request was sent to.
-    tried: Vec<TargetId>,
-    /// The targets among them that could not be reached.
-    unreachable: Vec<TargetId>,
-    /// The last error response, forwarded if no attempt succeeds.
-    last_failure: Option<Response<Bytes>>,
-    failures: u32,
-}
-
-impl Attempts {
-    /// Records the outcome of an attempt; returns the outcome of the request
-    /// if it is final.
-    fn record(&mut self, outcome: AttemptOutcome) -> Option<CallOutcome> {
-        self.last_refused = matches!(outcome, AttemptOutcome::NotRun);
-        match outcome {
-            AttemptOutcome::Response(resp) if !is_target_failure(resp.response.status()) => {
-                Some(CallOutcome::Response(resp))
-            }
-            AttemptOutcome::Response(resp) => {
-                self.may_have_run = true;
-                self.failures += 1;
-                self.last_failure = Some(resp.response);
-                None
-            }
-            AttemptOutcome::NotRun => {
-                self.sent = self.sent.saturating_sub(1);
-                self.refusals += 1;
-                None
-            }
-            AttemptOutcome::Unreachable(target) => {
-                self.sent = self.sent.saturating_sub(1);
-                self.unreachable.push(target);
-                None
-            }
-            AttemptOutcome::Unknown => {
-                self.may_have_run = true;
-                None
-            }
-        }
-    }
-
-    fn into_outcome(self) -> CallOutcome {
-        match self.last_failure {
-            Some(response) => CallOutcome::Failed(Box::new(response), self.failures),
-            None if self.may_have_run => CallOutcome::Refused(Refusal::OutcomeUnknown),
-            None => CallOutcome::Refused(self.no_target.unwrap_or(Refusal::NoTarget)),
-        }
-    }
-
-    fn into_timeout(self) -> CallOutcome {
-        match self.last_failure {
-            Some(response) => CallOutcome::Failed(Box::new(response), self.failures),
-            None => CallOutcome::Refused(Refusal::DeadlinePassed),
-        }
-    }
-}
-
-/// Returns whether another target may succeed.
-fn is_target_failure(status: StatusCode) -> bool {
-    status.is_server_error()
-}
-
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -1,6 +1,7 @@
 //! The program that serves callers and trainers on the platform.
 
 mod app;
+mod attempts;
 mod body;
 mod call;
 mod clock;
--- a/crates/serve/src/quarantine.rs
+++ b/crates/serve/src/quarantine.rs
@@ -113,7 +113,7 @@
                     backoff.record_failure();
                 }
                 log::debug!(event = "store_away", step = e.step; "{e}");
-                app.state.sleep_unless_stopping(backoff.delay(RETRY_DELAY, rand::random())).await;
+                sleep(backoff.delay(RETRY_DELAY, rand::random())).await;
             }
         }
     }
