Limited targets: shares with bursts, and for the hosts that want most

Cause: demand was held at its peak, so that a host with a request in ten seconds claimed as much as one with thirty a second, and each of the many hosts took a request of what the target tolerates at once; nothing of it was left for the bursts in which items and reward calls begin. Ruled out: that the limit flaps (963 statements, one change a host), refusals by the limited targets (all 6,063 came from the one target without a limit, which was full).

Demand is an average now, a rate has at most two hosts for each request a second, and what the target tolerates beyond its rate is shared out as bursts (the property over all shares holds for both). A refusal without a limit no longer ends one: this was not seen, and its trial passes without it too.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -20,7 +20,8 @@
 //! let mut claims = ClaimTable::new("h1".into());
 //! let claim = RateClaim { target: "t".into(), limit: Some(10.0), wanted: 4.0, age_ms: 0 };
 //! claims.apply("h1", vec![claim], now);
-//! assert_eq!(claims.share("t", now), TargetShare::PerSecond(4.0));
+//! let TargetShare::Limited(share) = claims.share("t", now) else { panic!("no limit") };
+//! assert!((share.per_second - 4.0).abs() < 0.01);
 //! ```
 
 mod claim;
@@ -30,6 +31,7 @@
 pub use crate::claim::HostClaims;
 pub use crate::claim::RateClaim;
 pub use crate::share::HostDemand;
+pub use crate::share::RateShare;
 pub use crate::share::rate_share;
 pub use crate::table::ClaimTable;
 pub use crate::table::TargetShare;
--- a/crates/limits/src/table.rs
+++ b/crates/limits/src/table.rs
@@ -8,6 +8,7 @@
 
 use crate::HostDemand;
 use crate::RateClaim;
+use crate::RateShare;
 use crate::rate_share;
 
 /// How long the claims of a host stand without newer ones.
@@ -20,8 +21,8 @@
 pub enum TargetShare {
     /// The target has no limit any more.
     Unlimited,
-    /// This many requests a second; 0 if the host has no share.
-    PerSecond(f64),
+    /// A share of its rate, which may be none at all.
+    Limited(RateShare),
 }
 
 /// The claims of all hosts.
@@ -70,14 +71,14 @@
             Some(statement) if statement.age >= STATEMENT_TTL => return TargetShare::Unlimited,
             Some(Statement { limit: Some(limit), .. }) => limit,
             // No claim could be read yet, not even this host's.
-            None => return TargetShare::PerSecond(0.0),
+            None => return TargetShare::Limited(RateShare::default()),
         };
         let demands: Vec<_> = self
             .claims_on(target)
             .filter(|(_, claim, _)| claim.limit.is_some())
             .map(|(host, claim, _)| HostDemand { host: host.clone(), wanted: claim.wanted })
             .collect();
-        TargetShare::PerSecond(rate_share(target, limit, &demands, &self.own))
+        TargetShare::Limited(rate_share(target, limit, &demands, &self.own))
     }
 
     /// Returns what the target stated last to any host.
--- a/crates/limits/tests/share.rs
+++ b/crates/limits/tests/share.rs
@@ -3,6 +3,7 @@
 //! of hosts.
 
 use cassia_limits::HostDemand;
+use cassia_limits::RateShare;
 use cassia_limits::rate_share;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -17,7 +18,7 @@
 }
 
 fn shares(limit: f64, demands: &[HostDemand]) -> Vec<f64> {
-    demands.iter().map(|d| rate_share("t", limit, demands, &d.host)).collect()
+    demands.iter().map(|d| rate_share("t", limit, demands, &d.host).per_second).collect()
 }
 
 /// Pattern: reward calls come in bursts at two hosts, callers' requests now and
@@ -36,7 +37,8 @@
 #[test]
 fn a_single_host_uses_nearly_the_whole_rate() {
     let share = rate_share("t", 10.0, &demands(&[64.0]), "h0");
-    assert!((9.0..=10.0).contains(&share), "{share}");
+    assert!((9.0..=10.0).contains(&share.per_second), "{share:?}");
+    assert!(share.burst > 15.0, "the items of a job begin together: {share:?}");
 }
 
 /// Pattern: hundreds of hosts were told a small rate.
@@ -57,7 +59,8 @@
 #[test]
 fn no_host_has_a_share_of_no_rate() {
     assert_eq!(shares(0.0, &demands(&[1.0, 64.0])), [0.0, 0.0]);
-    assert!(rate_share("t", 10.0, &demands(&[1.0]), "other").abs() < 1e-9, "it has no claim");
+    let other = rate_share("t", 10.0, &demands(&[1.0]), "other");
+    assert_eq!(other, RateShare::default(), "it has no claim");
 }
 
 proptest! {
@@ -74,7 +77,8 @@
         let shares = shares(limit, &demands);
         let total: f64 = shares.iter().sum();
         prop_assert!(total <= limit + 1e-6, "{total} of {limit}");
-        let at_once: f64 = shares.iter().filter(|share| **share > 0.0).map(|_| 1.0).sum();
+        let bursts = demands.iter().map(|d| rate_share("t", limit, &demands, &d.host).burst);
+        let at_once: f64 = bursts.sum();
         let most = total * WINDOW_S + at_once;
         prop_assert!(most <= 1.5 * WINDOW_S * limit + 5.0, "{most} in a window");
         for (share, wanted) in shares.iter().zip(&wanted) {
--- a/crates/limits/tests/table.rs
+++ b/crates/limits/tests/table.rs
@@ -14,7 +14,7 @@
 
 fn share(table: &ClaimTable, now: Instant) -> f64 {
     match table.share("t", now) {
-        TargetShare::PerSecond(share) => share,
+        TargetShare::Limited(share) => share.per_second,
         TargetShare::Unlimited => panic!("the target is limited"),
     }
 }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -156,11 +156,18 @@
         Some(Duration::from_millis(self.millis(now).saturating_sub(stated_at_ms)))
     }
 
-    /// Sets this process's share of a target's rate, in requests a second.
-    /// `phase`, from 0 to 1, is the part of the time between two requests after
-    /// which the first one may be sent.
-    pub fn set_rate_share(&self, target: &Target, per_second: f64, phase: f64, now: Instant) {
-        target.rate.set_share(per_second, phase, self.micros(now));
+    /// Sets this process's share of a target's rate, in requests a second, and how
+    /// many of them it may send at once after a pause. `phase`, from 0 to 1, is the
+    /// part of the time between two requests after which the first one may be sent.
+    pub fn set_rate_share(
+        &self,
+        target: &Target,
+        per_second: f64,
+        burst: f64,
+        phase: f64,
+        now: Instant,
+    ) {
+        target.rate.set_share(per_second, burst, phase, self.micros(now));
     }
 
     /// Counts a request that looks for a target, as a demand on the limited
--- a/crates/route/src/rate_limit.rs
+++ b/crates/route/src/rate_limit.rs
@@ -15,8 +15,9 @@
 /// Pacing of this host's requests at one target; updated without locks. Times
 /// are relative to the epoch of the set of targets.
 ///
-/// The requests are spaced evenly: a share that was not used is not saved up,
-/// since all hosts might use what they saved at the same moment.
+/// The requests are spaced evenly, but for a burst after a pause: `next_us` is
+/// when the next request would be due at even spaces, and requests may be sent up
+/// to `tolerance_us` before that (the generic cell rate algorithm).
 #[derive(Debug)]
 pub(crate) struct RateLimit {
     /// Requests a second, in thousandths, that the target said in its last
@@ -27,8 +28,10 @@
     stated_at_ms: AtomicU64,
     /// Time from one request of this host to the next, in microseconds.
     interval_us: AtomicU64,
-    /// When this host may send its next request, in microseconds.
+    /// When this host's next request is due, in microseconds.
     next_us: AtomicU64,
+    /// How long before that it may be sent.
+    tolerance_us: AtomicU64,
     /// Requests that looked for such a target since the last look.
     wanted: AtomicU32,
 }
@@ -40,6 +43,7 @@
             stated_at_ms: AtomicU64::new(0),
             interval_us: AtomicU64::new(NOT_LIMITED),
             next_us: AtomicU64::new(0),
+            tolerance_us: AtomicU64::new(0),
             wanted: AtomicU32::new(0),
         }
     }
@@ -82,21 +86,24 @@
         self.interval_us.load(Ordering::Relaxed) != NOT_LIMITED
     }
 
-    /// Sets this host's share. `phase`, from 0 to 1, delays its first request by
-    /// a part of the interval, so that the hosts don't begin at the same moment.
-    pub(crate) fn set_share(&self, per_second: f64, phase: f64, now_us: u64) {
-        let interval = Duration::try_from_secs_f64(1.0 / per_second).unwrap_or(Duration::MAX);
-        let interval_us = u64::try_from(interval.as_micros()).unwrap_or(NO_SHARE).max(1);
+    /// Sets this host's share, and how many requests it may send at once after a
+    /// pause. `phase`, from 0 to 1, delays its first request by a part of the
+    /// interval, so that the hosts don't begin at the same moment.
+    pub(crate) fn set_share(&self, per_second: f64, burst: f64, phase: f64, now_us: u64) {
+        let interval_us = micros(1.0 / per_second).max(1);
         let before = self.interval_us.swap(interval_us, Ordering::Relaxed);
         if interval_us == NO_SHARE {
             return;
         }
+        let tolerance_us = micros((burst - 1.0).max(0.0) / per_second);
+        self.tolerance_us.store(tolerance_us, Ordering::Relaxed);
+        // A new share begins without a burst.
+        let first_us = now_us.saturating_add(tolerance_us);
         if before == NO_SHARE {
-            let delay = interval.mul_f64(phase.clamp(0.0, 1.0));
-            let delay_us = u64::try_from(delay.as_micros()).unwrap_or(interval_us);
-            self.next_us.store(now_us.saturating_add(delay_us), Ordering::Relaxed);
+            let delay_us = micros(phase.clamp(0.0, 1.0) / per_second);
+            self.next_us.store(first_us.saturating_add(delay_us), Ordering::Relaxed);
         } else {
-            self.next_us.fetch_min(now_us.saturating_add(interval_us), Ordering::Relaxed);
+            self.next_us.fetch_min(first_us.saturating_add(interval_us), Ordering::Relaxed);
         }
     }
 
@@ -105,14 +112,16 @@
         match self.interval_us.load(Ordering::Relaxed) {
             NOT_LIMITED => true,
             NO_SHARE => false,
-            _ => now_us >= self.next_us.load(Ordering::Relaxed),
+            _ => self.is_due(self.next_us.load(Ordering::Relaxed), now_us),
         }
     }
 
     /// Uses the share for one request; returns false if it may not be sent now.
     pub(crate) fn take(&self, now_us: u64) -> bool {
         let interval_us = self.interval_us.load(Ordering::Relaxed);
-        let next = |next| (now_us >= next).then(|| now_us.saturating_add(interval_us));
+        let next = |next: u64| {
+            self.is_due(next, now_us).then(|| next.max(now_us).saturating_add(interval_us))
+        };
         match interval_us {
             NOT_LIMITED => true,
             NO_SHARE => false,
@@ -120,6 +129,10 @@
         }
     }
 
+    fn is_due(&self, next_us: u64, now_us: u64) -> bool {
+        now_us.saturating_add(self.tolerance_us.load(Ordering::Relaxed)) >= next_us
+    }
+
     pub(crate) fn count_wanted(&self) {
         self.wanted.fetch_add(1, Ordering::Relaxed);
     }
@@ -134,3 +147,9 @@
     let rate = Duration::try_from_secs_f64(per_second).unwrap_or(Duration::MAX);
     u64::try_from(rate.as_millis()).unwrap_or(NO_LIMIT).min(NO_LIMIT - 1)
 }
+
+/// Converts seconds to microseconds; `NO_SHARE` if there are too many.
+fn micros(seconds: f64) -> u64 {
+    let duration = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+    u64::try_from(duration.as_micros()).unwrap_or(NO_SHARE)
+}
--- a/crates/route/tests/rate_limit.rs
+++ b/crates/route/tests/rate_limit.rs
@@ -67,7 +67,7 @@
     let set = set(now, 2);
     for target in set.all() {
         set.record_rate_limit(target, Some(5.0), now);
-        set.set_rate_share(target, 2.0, 0.0, now);
+        set.set_rate_share(target, 2.0, 1.0, 0.0, now);
     }
     for _ in 0..2 {
         let Choice::Target(target) = choose(&set, now) else { panic!("a share is left") };
@@ -87,12 +87,30 @@
     let set = set(now, 1);
     let target = Arc::clone(&set.of_kind(&kind())[0]);
     set.record_rate_limit(&target, Some(10.0), now);
-    set.set_rate_share(&target, share, 0.0, now);
+    set.set_rate_share(&target, share, 1.0, 0.0, now);
     let after_pause = now + Duration::from_secs(30);
     let sent = send_all(&set, &target, after_pause, Duration::from_secs(4));
     assert!(sent.abs_diff(expected) <= 1, "{sent}");
 }
 
+/// Pattern: the items of a job begin together, after a pause.
+#[test]
+fn a_burst_after_a_pause_is_sent_at_once_as_far_as_it_is_allowed() {
+    let now = Instant::now();
+    let set = set(now, 1);
+    let target = Arc::clone(&set.of_kind(&kind())[0]);
+    set.record_rate_limit(&target, Some(10.0), now);
+    set.set_rate_share(&target, 5.0, 8.0, 0.0, now);
+    let at_first = send_all(&set, &target, now, Duration::from_millis(100));
+    assert!(at_first <= 1, "a new share begins without a burst: {at_first}");
+    let after_pause = now + Duration::from_secs(30);
+    let burst = send_all(&set, &target, after_pause, Duration::from_millis(100));
+    assert!((8..=9).contains(&burst), "{burst}");
+    let later = after_pause + Duration::from_millis(100);
+    let rest = send_all(&set, &target, later, Duration::from_secs(4));
+    assert!((19..=21).contains(&rest), "{rest}");
+}
+
 /// Pattern: the share changes each half second while requests wait.
 #[test]
 fn a_changing_share_is_kept_on_average() {
@@ -103,7 +121,7 @@
     let mut count = 0;
     for round in 0..40_u32 {
         let at = now + Duration::from_millis(500) * round;
-        set.set_rate_share(&target, if round % 2 == 0 { 2.0 } else { 4.0 }, 0.5, at);
+        set.set_rate_share(&target, if round % 2 == 0 { 2.0 } else { 4.0 }, 1.0, 0.5, at);
         count += send_all(&set, &target, at, Duration::from_millis(500));
     }
     assert!((50..=70).contains(&count), "{count} in 20 s");
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -420,6 +420,11 @@
         let target = in_flight.target().info.id.as_str();
         log::info!(event = "target_leaving", step = "call", target; "the target states that it is leaving");
     }
+    // A refusal without a limit doesn't end one: a full target refuses before it
+    // states anything.
+    if head.not_run && head.rate_limit.is_none() {
+        return;
+    }
     if targets.record_rate_limit(in_flight.target(), head.rate_limit, Instant::now()) {
         app.state.target_limited.notify_one();
         let (target, limit) = (in_flight.target().info.id.as_str(), head.rate_limit);
--- a/crates/serve/src/rate_limits.rs
+++ b/crates/serve/src/rate_limits.rs
@@ -36,14 +36,14 @@
 const END_RETENTION: Duration = Duration::from_secs(6);
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
-/// Part of a target's demand that is left after a round without requests, in
-/// percent. Reward calls come in bursts, a few seconds apart.
-const DEMAND_DECAY_PERCENT: u32 = 85;
+/// Weight of a round in the average of the demand, in percent. Reward calls come
+/// in bursts, a few seconds apart.
+const DEMAND_WEIGHT_PERCENT: f64 = 20.0;
 /// A host claims this many times its demand, since requests don't come at even
 /// intervals.
 const HEADROOM: f64 = 2.0;
 /// The least rate that a host claims, in requests a second.
-const MIN_WANTED: f64 = 0.125;
+const MIN_WANTED: f64 = 0.03;
 
 /// Runs until the process ends.
 pub(crate) async fn run(app: Arc<App>) {
@@ -61,7 +61,7 @@
 /// What this host knows of its own requests to one limited target.
 #[derive(Debug)]
 struct Demand {
-    /// Requests a second that looked for such a target; decays.
+    /// Requests a second that looked for such a target, on average.
     per_second: f64,
     /// Requests that this process had started at it when it was logged last.
     logged: u64,
@@ -222,7 +222,7 @@
     /// Counts the requests since the last round.
     fn count(&mut self, requests: u32, elapsed: Duration) {
         let per_second = f64::from(requests) / elapsed.max(ROUND_INTERVAL).as_secs_f64();
-        self.per_second = per_second.max(self.per_second * f64::from(DEMAND_DECAY_PERCENT) / 100.0);
+        self.per_second += (per_second - self.per_second) * DEMAND_WEIGHT_PERCENT / 100.0;
     }
 
     /// Returns the rate to claim, with `open` targets of the kind. Rounded to a
@@ -247,8 +247,9 @@
                 let target = target.info.id.as_str();
                 log::info!(event = "limit_ended", step = "limit", target; "another host was told that the target has no limit");
             }
-            TargetShare::PerSecond(share) => {
-                targets.set_rate_share(target, share, rand::random(), now);
+            TargetShare::Limited(share) => {
+                let (per_second, burst) = (share.per_second, share.burst);
+                targets.set_rate_share(target, per_second, burst, rand::random(), now);
             }
         }
     }
@@ -257,6 +258,6 @@
 fn share_of(table: &ClaimTable, target: &Target, now: Instant) -> Option<f64> {
     match table.share(&target.info.id, now) {
         TargetShare::Unlimited => None,
-        TargetShare::PerSecond(share) => Some(share),
+        TargetShare::Limited(share) => Some(share.per_second),
     }
 }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -68,6 +68,8 @@
     pub silent: bool,
     /// It states in its responses that it is leaving; its heartbeats don't.
     pub states_leaving: bool,
+    /// One in this many requests is refused as not run, without a limit.
+    pub refuse_every: Option<u64>,
     /// Requests a second that it states to accept from all hosts together.
     pub rate_limit: Option<f64>,
 }
@@ -148,6 +150,8 @@
     /// Ids of the running requests, by the number of the run.
     running: BTreeMap<u64, String>,
     next_run: u64,
+    /// Number of requests that arrived.
+    arrivals: u64,
     leaving: bool,
 }
 
@@ -180,6 +184,7 @@
             runs: Vec::new(),
             running: BTreeMap::new(),
             next_run: 0,
+            arrivals: 0,
             leaving: false,
         };
         let heartbeat_count = AtomicU64::new(0);
@@ -283,6 +288,11 @@
 }
 
 impl State {
+    fn count_arrival(&mut self) -> u64 {
+        self.arrivals += 1;
+        self.arrivals
+    }
+
     fn is_down(&self) -> bool {
         self.down_until.is_some_and(|until| Instant::now() < until)
     }
@@ -376,7 +386,9 @@
             return Reply::Bytes(421, headers, Bytes::new());
         }
         let faults = lock(&self.state).faults.clone();
-        if faults.response == ResponseFault::Busy {
+        let arrived = lock(&self.state).count_arrival();
+        let refused = faults.refuse_every.is_some_and(|every| arrived.is_multiple_of(every));
+        if refused || faults.response == ResponseFault::Busy {
             return Reply::Bytes(503, vec![("not-run", "1".to_owned())], Bytes::new());
         }
         let last_event_id = number("last-event-id");
--- a/crates/trials/tests/platform_rate_limits.rs
+++ b/crates/trials/tests/platform_rate_limits.rs
@@ -35,6 +35,12 @@
     TargetFaults { rate_limit: Some(RATE), ..TargetFaults::default() }
 }
 
+/// A limited target that refuses each third request, as a full one does, without
+/// stating its limit.
+fn limited_and_full() -> TargetFaults {
+    TargetFaults { refuse_every: Some(3), ..limited() }
+}
+
 /// Sends a caller's request to a process at each interval; returns the statuses
 /// and the longest time until an answer.
 async fn send_load(env: &PlatformEnv, name: &str, to: &Process) -> (Vec<u16>, Duration) {
@@ -62,11 +68,13 @@
 /// Guards against hosts that ignore the rate that a target states, or keep it
 /// each for itself: the target then gets it from every host.
 #[rstest]
-#[case::one_of_two(1)]
-#[case::all(2)]
+#[case::one_of_two(1, limited())]
+#[case::all(2, limited())]
+#[case::all_and_full(2, limited_and_full())]
 #[tokio::test]
 async fn all_hosts_together_keep_the_rate_that_a_target_states(
     #[case] limited_targets: usize,
+    #[case] faults: TargetFaults,
 ) -> anyhow::Result<()> {
     let env = PlatformEnv::start().await?.with_targets(0, 2).await?;
     let processes = start_processes(&env, 3).await?;
@@ -74,7 +82,7 @@
         wait_until_serving(&env, process).await?;
     }
     for target in &env.targets[..limited_targets] {
-        target.set_faults(limited());
+        target.set_faults(faults.clone());
     }
     let since = Instant::now() + GRACE;
     let load = processes.iter().map(|(host, process)| send_load(&env, host, process));
