--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -334,6 +334,9 @@
                 let targets = self.app.state.targets.load();
                 if is_target_failure(response.status()) {
                     targets.record_error(in_flight.target(), Instant::now());
+                    let (id, peer) = (self.id.as_str(), info.id.as_str());
+                    let status = response.status().as_u16();
+                    log::info!(event = "attempt_failed", step = "call", id, peer, status; "the target's response is a server error");
                 } else {
                     targets.record_success(in_flight.target());
                 }
