Trials: items are given up for responses that don't allow it, failing on this code

Each server error counted as one of the attempts that the route allows, and so does each 4xx.

The trial gives each reward call responses of 504, 502, 503 or 404 until the targets recover: all four cases fail on this code, the items are listed as errored. A second test shows that an item whose reward call fails for good with 500 is given up; it passes.

--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -42,6 +42,8 @@
     None,
     /// Status 500, after the request ran.
     Error,
+    /// Another status, after the request ran.
+    Status(u16),
     /// Status 503, with a header that says that the request did not run.
     Busy,
     /// No response, after the request ran.
@@ -425,6 +427,9 @@
         if faults.response == ResponseFault::Error || faults.failing_ids.contains(&id) {
             return Reply::Bytes(500, headers, Bytes::from_static(b"failed"));
         }
+        if let ResponseFault::Status(status) = faults.response {
+            return Reply::Bytes(status, headers, Bytes::from_static(b"no result"));
+        }
         if self.spec.model.is_none() {
             drop(run);
             return Reply::Bytes(200, headers, Bytes::from(format!("done {echoed}")));
--- /dev/null
+++ b/crates/trials/tests/platform_rewards.rs
@@ -0,0 +1,70 @@
+//! The reward calls of batch jobs, beside targets that fail them.
+
+use cassia_standin::ResponseFault;
+use cassia_standin::TargetFaults;
+use cassia_trials::PlatformEnv;
+use cassia_trials::assert_complete;
+use cassia_trials::batch_job;
+use cassia_trials::eventually;
+use cassia_trials::start_processes;
+use rstest::rstest;
+
+/// Number of responses to a reward call after which each of its route's attempts
+/// has failed several times.
+const MANY_RESPONSES: usize = 10;
+
+/// Guards against items that are given up although the targets of their reward
+/// calls never stated that these failed.
+#[rstest]
+#[case::deadline_passed(504)]
+#[case::gateway(502)]
+#[case::unavailable(503)]
+#[case::not_found(404)]
+#[tokio::test]
+async fn an_item_is_not_given_up_for_responses_to_its_reward_call_of(
+    #[case] status: u16,
+) -> anyhow::Result<()> {
+    let env = PlatformEnv::start().await?.with_targets(1, 2).await?;
+    let processes = start_processes(&env, 1).await?;
+    let process = &processes[0].1;
+    let fault = ResponseFault::Status(status);
+    for scorer in &env.targets[1..] {
+        scorer.set_faults(TargetFaults { response: fault, ..TargetFaults::default() });
+    }
+    assert_eq!(env.submit_job(process, "j1", &batch_job("j1", 4, 1)).await.status, 202);
+    let often_answered = || async {
+        (0..4).all(|n| env.run_count(&format!("j1-{n}-score")) >= MANY_RESPONSES)
+            || env.results(process, "j1", 0).await.json()["next"] != 0
+    };
+    anyhow::ensure!(eventually(often_answered).await, "the reward calls are not repeated");
+    let listed = env.results(process, "j1", 0).await.json();
+    assert_eq!(listed["next"], 0, "an item was given up: {listed}");
+
+    for scorer in &env.targets[1..] {
+        scorer.set_faults(TargetFaults::default());
+    }
+    let results = env.all_results(process, "j1").await.unwrap_or_default();
+    assert_complete(&results, "j1", 4);
+    Ok(())
+}
+
+/// Guards against items that are never given up although their reward calls fail
+/// for good.
+#[tokio::test]
+async fn an_item_is_given_up_once_its_reward_call_failed_as_often_as_its_route_allows()
+-> anyhow::Result<()> {
+    let env = PlatformEnv::start().await?.with_targets(1, 2).await?;
+    let processes = start_processes(&env, 1).await?;
+    let process = &processes[0].1;
+    for scorer in &env.targets[1..] {
+        let failing_ids = ["j1-2-score".to_owned()].into();
+        scorer.set_faults(TargetFaults { failing_ids, ..TargetFaults::default() });
+    }
+    assert_eq!(env.submit_job(process, "j1", &batch_job("j1", 4, 1)).await.status, 202);
+    let results = env.all_results(process, "j1").await.unwrap_or_default();
+    let given_up: Vec<_> = results.iter().filter(|result| result["state"] == "errored").collect();
+    assert_eq!(given_up.len(), 1, "{results:?}");
+    assert_eq!(given_up[0]["instance_id"], "j1-2");
+    assert!(env.run_count("j1-2-score") >= 3, "given up after fewer failures than allowed");
+    Ok(())
+}
