Serve: only a response of 500 counts as a failed attempt of a reward call

Cause: every server error, and each 4xx, counted as one of the attempts after which an item may be given up. A target that can't answer by the deadline that it was sent answers 504 then; a reward call has up to four attempts under way with the same deadline, so one slow call gave an item up after two seconds. Class of fault: a statement about the target taken for one about the request. Runs of items were right: they count 500 only; both now ask the same function.

Other responses are tried again, as refusals are, until the retention of the route.

--- a/crates/serve/src/attempts.rs
+++ b/crates/serve/src/attempts.rs
@@ -25,6 +25,7 @@
     pub(crate) unreachable: Vec<TargetId>,
     /// The last error response, forwarded if no attempt succeeds.
     last_failure: Option<Response<Bytes>>,
+    /// Number of targets that ran it and failed.
     failures: u32,
 }
 
@@ -39,7 +40,7 @@
             }
             AttemptOutcome::Response(resp) => {
                 self.may_have_run = true;
-                self.failures += 1;
+                self.failures += u32::from(is_failed_run(resp.response.status()));
                 self.last_failure = Some(resp.response);
                 None
             }
@@ -80,3 +81,10 @@
 pub(crate) fn is_target_failure(status: StatusCode) -> bool {
     status.is_server_error()
 }
+
+/// Returns whether the target ran the request and failed. Other server errors
+/// say that the target gave up, for instance at the deadline, and nothing about
+/// the request.
+pub(crate) fn is_failed_run(status: StatusCode) -> bool {
+    status == StatusCode::INTERNAL_SERVER_ERROR
+}
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -97,8 +97,8 @@
 pub(crate) enum CallOutcome {
     /// A target's response.
     Response(Box<TargetResponse>),
-    /// Targets ran it and failed: the last response and the number of
-    /// failures.
+    /// Targets answered with server errors: the last response and the number
+    /// of targets that ran it and failed.
     Failed(Box<Response<Bytes>>, u32),
     /// No target's response.
     Refused(Refusal),
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout_at;
 
 use crate::app::App;
+use crate::attempts::is_failed_run;
 use crate::call::is_answer_to;
 use crate::call::log_attempt;
 use crate::call::record_load;
@@ -146,7 +147,7 @@
                 self.read_events(response.into_body(), &head, text).await
             }
             StatusCode::UNPROCESSABLE_ENTITY => RunOutcome::Impossible,
-            StatusCode::INTERNAL_SERVER_ERROR => {
+            status if is_failed_run(status) => {
                 let targets = self.app.state.targets.load();
                 targets.record_error(self.engine.target(), Instant::now());
                 let (id, peer) = (self.item.id.as_str(), self.engine.target().info.id.as_str());
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -365,8 +365,9 @@
                 continue;
             };
             match self.call_scorer(reward, &route).await? {
-                CallOutcome::Response(resp) if resp.response.status().is_success() => {
-                    if let Some(score) = resp.head.signature {
+                CallOutcome::Response(resp) => {
+                    let is_success = resp.response.status().is_success();
+                    if let Some(score) = resp.head.signature.filter(|_| is_success) {
                         return Some(score);
                     }
                     attempts.record_interruption();
@@ -379,11 +380,7 @@
                             return None;
                         }
                     }
-                }
-                CallOutcome::Response(_) => {
-                    if attempts.record_failure(route.max_attempts) == RetryDecision::GiveUp {
-                        return None;
-                    }
+                    attempts.record_interruption();
                 }
                 CallOutcome::Refused(refusal) => {
                     let (call, kind) = (reward.id.as_str(), refusal.kind());
