--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod endless;
 mod engine;
+mod late_copies;
 mod log;
 mod proxy;
 mod repeating;
@@ -32,6 +33,8 @@
 pub use crate::engine::EngineFaults;
 pub use crate::engine::EngineSpec;
 pub use crate::engine::EngineStandin;
+pub use crate::late_copies::LateCopyTarget;
+pub use crate::late_copies::RepeatedAnswers;
 pub use crate::log::LogStandin;
 pub use crate::proxy::Proxy;
 pub use crate::repeating::RepeatingTarget;
--- a/crates/standin/src/repeating.rs
+++ b/crates/standin/src/repeating.rs
@@ -131,7 +131,7 @@
 }
 
 /// Reads one request and returns its id.
-async fn read_request(stream: &mut TcpStream) -> io::Result<String> {
+pub(crate) async fn read_request(stream: &mut TcpStream) -> io::Result<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await?);
