Clients: a response that may be an earlier run's is told apart by its connection

Callers could see a score that belongs to an earlier text, an item given up for one failure counted twice, or the text of an earlier job (MIXED), beside targets that answer twice, the second time late.

Cause: a response was taken for the answer if it bore the request's id. Items and reward calls keep their ids over their runs and over jobs with the same groups, and a copy may come as late as the next request on its connection. Class of fault: an id that names the work used to name one run of it.

Change: each connection remembers the ids that it answered, with the status. A response whose id was answered there with that status before may be a copy; it is dropped with the connection, and the run is tried again on another. An answer with another status is the run's own. Refusals of work that has not run are taken as they are: either copy says so.

Ruled out: an id of its own for each run (an engine runs nothing under an id that no caller sent, by the users' rules); a new connection for each repeated id (the pool does not choose connections by request, and new ones are dear).

--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert!(format!("{platform:?}").contains("HttpPlatform"));
 //! ```
 
+mod answered;
 mod budget;
 mod engine;
 mod engine_http;
@@ -23,6 +24,7 @@
 mod services;
 mod store;
 
+pub use crate::answered::may_be_copy;
 pub use crate::budget::BudgetExceeded;
 pub use crate::budget::ByteBudget;
 pub use crate::budget::Reservation;
--- a/crates/clients/src/limited_stream.rs
+++ b/crates/clients/src/limited_stream.rs
@@ -26,6 +26,8 @@
 use tokio::net::TcpStream;
 use tower_service::Service;
 
+use crate::answered::AnsweredRequests;
+
 /// How many bytes a connection may still read until the head of a response is
 /// known. A response carries it among its extensions.
 #[derive(Clone, Debug)]
@@ -107,7 +109,7 @@
         let connecting = self.connector.call(uri);
         async move {
             let stream = connecting.await?.into_inner();
-            Ok(TokioIo::new(LimitedStream { stream, limit }))
+            Ok(TokioIo::new(LimitedStream { stream, limit, answered: AnsweredRequests::default() }))
         }
         .boxed()
     }
@@ -118,11 +120,12 @@
 pub(crate) struct LimitedStream {
     stream: TcpStream,
     limit: HeadLimit,
+    answered: AnsweredRequests,
 }
 
 impl Connection for LimitedStream {
     fn connected(&self) -> Connected {
-        self.stream.connected().extra(self.limit.clone())
+        self.stream.connected().extra(self.limit.clone()).extra(self.answered.clone())
     }
 }
 
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -12,6 +12,7 @@
 use cassia_adapter::target_request;
 use cassia_clients::ErrorKind;
 use cassia_clients::PlatformError;
+use cassia_clients::may_be_copy;
 use cassia_ids::RequestId;
 use cassia_ids::TargetId;
 use cassia_quarantine::RequestDigest;
@@ -27,7 +28,6 @@
 use http::HeaderMap;
 use http::Method;
 use http::Response;
-use http::StatusCode;
 use http::Uri;
 use http::uri::PathAndQuery;
 use hyper::body::Incoming;
@@ -312,11 +312,9 @@
     ) -> AttemptOutcome {
         let info = &in_flight.target().info;
         let head = decode_response_head(response.status(), response.headers());
-        if !is_answer_to(self.id, response.status(), &head) {
-            // The late response to another request: the connection can't be
-            // used any more.
-            self.app.client.drop_pool(info.addr);
-            log::warn!(event = "foreign_answer", step = "call", id = self.id.as_str(), target = info.id.as_str(); "dropped the response to another request");
+        let answer_of = answer_of(self.id, &response, &head);
+        if answer_of != AnswerOf::This {
+            drop_misaligned(self.app, self.id, answer_of, in_flight);
             return AttemptOutcome::Unknown;
         }
         record_load(self.app, in_flight, &head);
@@ -401,10 +399,50 @@
     }
 }
 
-/// Returns whether a response answers the request with this id. A success must
-/// say so: without an id it may be the late copy of another one's.
-pub(crate) fn is_answer_to(id: &str, status: StatusCode, head: &ResponseHead) -> bool {
-    head.id.as_ref().map_or(!status.is_success(), |answered| answered == id)
+/// Which request a response belongs to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AnswerOf {
+    /// The request that it came for.
+    This,
+    /// Another request.
+    Another,
+    /// This request or an earlier run of it: the response may be the late copy
+    /// of that run's.
+    ThisOrEarlierRun,
+}
+
+impl AnswerOf {
+    /// Returns the value that is logged.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::This => "this_request",
+            Self::Another => "another_request",
+            Self::ThisOrEarlierRun => "this_or_earlier_run",
+        }
+    }
+}
+
+/// Returns which request a response belongs to that came for the one with this
+/// id. A success must say so: without an id it may be the late copy of another
+/// one's.
+pub(crate) fn answer_of<B>(id: &str, response: &Response<B>, head: &ResponseHead) -> AnswerOf {
+    let may_be_copy = may_be_copy(response, id);
+    match &head.id {
+        Some(answered) if answered != id => AnswerOf::Another,
+        None if response.status().is_success() => AnswerOf::Another,
+        // A request that is refused time and again has not run either way.
+        _ if may_be_copy && !head.not_run => AnswerOf::ThisOrEarlierRun,
+        _ => AnswerOf::This,
+    }
+}
+
+/// Drops the connections on which a response that belongs to another request has
+/// come: the one that was due follows it.
+pub(crate) fn drop_misaligned(app: &App, id: &str, answer_of: AnswerOf, in_flight: &InFlight) {
+    let info = &in_flight.target().info;
+    app.client.drop_pool(info.addr);
+    let (peer, of) = (info.id.as_str(), answer_of.as_str());
+    log::warn!(event = "foreign_answer", step = "call", id, peer, of; "dropped a response that may belong to another request");
 }
 
 /// Records what a target's response states about the target.
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -22,7 +22,9 @@
 
 use crate::app::App;
 use crate::attempts::is_failed_run;
-use crate::call::is_answer_to;
+use crate::call::AnswerOf;
+use crate::call::answer_of;
+use crate::call::drop_misaligned;
 use crate::call::log_attempt;
 use crate::call::record_load;
 
@@ -128,10 +130,10 @@
 
     async fn read_response(&self, response: Response<Incoming>, text: &mut ItemText) -> RunOutcome {
         let head = decode_response_head(response.status(), response.headers());
-        if !is_answer_to(&self.item.id, response.status(), &head) {
-            self.app.client.drop_pool(self.engine.target().info.addr);
-            self.record_failure("response to another request");
-            return RunOutcome::Interrupted;
+        let answer_of = answer_of(&self.item.id, &response, &head);
+        if answer_of != AnswerOf::This {
+            drop_misaligned(self.app, &self.item.id, answer_of, self.engine);
+            return self.interrupted("response to another request");
         }
         record_load(self.app, self.engine, &head);
         self.record_version(&head);
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -26,8 +26,10 @@
 use hyper::body::Incoming;
 
 use crate::app::App;
+use crate::call::AnswerOf;
 use crate::call::OutgoingRequest;
-use crate::call::is_answer_to;
+use crate::call::answer_of;
+use crate::call::drop_misaligned;
 use crate::call::record_load;
 use crate::response::Body;
 use crate::response::Refusal;
@@ -89,8 +91,9 @@
         match app.client.send_any_status("stream", info.addr, request, deadline).await {
             Ok(response) => {
                 let response_head = decode_response_head(response.status(), response.headers());
-                if !is_answer_to(&head.id, response.status(), &response_head) {
-                    app.client.drop_pool(info.addr);
+                let answer_of = answer_of(&head.id, &response, &response_head);
+                if answer_of != AnswerOf::This {
+                    drop_misaligned(app, &head.id, answer_of, &in_flight);
                     return Refusal::OutcomeUnknown.response("stream");
                 }
                 record_load(app, &in_flight, &response_head);
