Serve: an item waits while the route of its reward call has no service

Found while looking for the cause of the items given up early elsewhere: a reward call whose route has no service at the moment, as when a change of the configuration sets its weight to 0, counted as a call that can't be made, and the item was listed as errored at once. It waits now, as it does without a route.

an_item_is_not_given_up_while_its_reward_calls_have_no_service failed before (all four items errored within a second) and passes now.

--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -42,7 +42,7 @@
 const LONG_ITEM_DIVISOR: usize = 4;
 /// Maximum number of times that an item moves to a faster engine.
 const MAX_MOVES: u32 = 3;
-/// Delay while an item or its reward call has no route.
+/// Delay while an item or its reward call has no route, or its route no service.
 const NO_ROUTE_DELAY: Duration = Duration::from_millis(300);
 /// Added to the retention of an item, since the hosts' clocks differ.
 const MAX_CLOCK_SKEW_MS: u64 = 6_000;
@@ -364,7 +364,11 @@
                 sleep(NO_ROUTE_DELAY).await;
                 continue;
             };
-            match self.call_scorer(reward, &route).await? {
+            let Some(service) = route.pick_service(rand::random()).cloned() else {
+                sleep(NO_ROUTE_DELAY).await;
+                continue;
+            };
+            match self.call_scorer(reward, &route, service).await? {
                 CallOutcome::Response(resp) => {
                     let is_success = resp.response.status().is_success();
                     if let Some(score) = resp.head.signature.filter(|_| is_success) {
@@ -392,7 +396,13 @@
         }
     }
 
-    async fn call_scorer(&self, reward: &Reward, route: &Route) -> Option<CallOutcome> {
+    /// Makes a reward call; `None` if the call is not valid.
+    async fn call_scorer(
+        &self,
+        reward: &Reward,
+        route: &Route,
+        service: SmolStr,
+    ) -> Option<CallOutcome> {
         let (uri, headers) = match reward_request(reward) {
             Ok(request) => request,
             Err(e) => {
@@ -400,7 +410,6 @@
                 return None;
             }
         };
-        let service = route.pick_service(rand::random())?.clone();
         let deadline = Instant::now() + route.timeout();
         let id = SmolStr::new(&reward.id);
         let outgoing =
--- a/crates/trials/tests/platform_rewards.rs
+++ b/crates/trials/tests/platform_rewards.rs
@@ -1,13 +1,18 @@
 //! The reward calls of batch jobs, beside targets that fail them.
 
+use std::time::Duration;
+
 use cassia_standin::ResponseFault;
 use cassia_standin::TargetFaults;
 use cassia_trials::PlatformEnv;
 use cassia_trials::assert_complete;
 use cassia_trials::batch_job;
 use cassia_trials::eventually;
+use cassia_trials::platform_config;
 use cassia_trials::start_processes;
 use rstest::rstest;
+use serde_json::json;
+use tokio::time::sleep;
 
 /// Number of responses to a reward call after which each of its route's attempts
 /// has failed several times.
@@ -48,6 +53,33 @@
     Ok(())
 }
 
+/// Guards against items that are given up while the route of their reward calls
+/// has no service.
+#[tokio::test]
+async fn an_item_is_not_given_up_while_its_reward_calls_have_no_service() -> anyhow::Result<()> {
+    let env = PlatformEnv::start().await?.with_targets(1, 2).await?;
+    let processes = start_processes(&env, 1).await?;
+    let process = &processes[0].1;
+    let mut config = platform_config(2, true);
+    let routes = config["routes"].as_array_mut().into_iter().flatten();
+    for route in routes.filter(|route| route["name"] == "score") {
+        route["split"] = json!([{"service": "intake", "weight": 0}]);
+        route["service"] = json!(null);
+    }
+    env.store.put("keyed.op", "config", Some(&config));
+    let in_force = || async { env.request(process, "/score/1", "probe").await.status == 503 };
+    anyhow::ensure!(eventually(in_force).await, "the configuration is not in force");
+    assert_eq!(env.submit_job(process, "j1", &batch_job("j1", 4, 1)).await.status, 202);
+    sleep(Duration::from_secs(1)).await;
+    let listed = env.results(process, "j1", 0).await.json();
+    assert_eq!(listed["next"], 0, "an item was given up: {listed}");
+
+    env.store.put("keyed.op", "config", Some(&platform_config(3, true)));
+    let results = env.all_results(process, "j1").await.unwrap_or_default();
+    assert_complete(&results, "j1", 4);
+    Ok(())
+}
+
 /// Guards against items that are never given up although their reward calls fail
 /// for good.
 #[tokio::test]
