Trials: second copies of reports and refusals

A target may send a reply a second time, in place of the next one on the connection. The stand-in of a target now does so with its reports, its refusals or its answers, and refuses orders and requests in several ways.

--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,5 +1,6 @@
 //! A small HTTP server whose responses can be withheld or reset.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::fmt::Debug;
 use std::io;
@@ -48,6 +49,43 @@
     Hang,
     /// No response; the connection is closed.
     Reset,
+    /// A reply that is sent again in place of the next one on the connection.
+    /// Those after it are then late by one. Streams are not sent again.
+    Twice(Box<Reply>),
+}
+
+impl Reply {
+    /// Returns a copy of a reply with a complete body.
+    fn copy(&self) -> Option<Self> {
+        match self {
+            Self::Json(status, value) => Some(Self::Json(*status, value.clone())),
+            Self::Bytes(status, headers, bytes) => {
+                Some(Self::Bytes(*status, headers.clone(), bytes.clone()))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// The replies that are still to be sent on a connection.
+#[derive(Debug, Default)]
+struct PendingReplies(Mutex<VecDeque<Reply>>);
+
+impl PendingReplies {
+    /// Adds the reply to the request that has arrived, and returns the one that
+    /// is sent now.
+    fn exchange(&self, reply: Reply) -> Reply {
+        let mut pending = lock(&self.0);
+        match reply {
+            Reply::Twice(reply) => {
+                let copy = reply.copy();
+                pending.push_back(*reply);
+                pending.extend(copy);
+            }
+            reply => pending.push_back(reply),
+        }
+        pending.pop_front().unwrap_or(Reply::Reset)
+    }
 }
 
 /// Handles the requests of one server.
@@ -125,7 +163,10 @@
                 connection_count.fetch_add(1, Ordering::Relaxed);
                 let _ = stream.set_nodelay(true);
                 let handler = Arc::clone(&handler);
-                let service = service_fn(move |request| respond(Arc::clone(&handler), request));
+                let pending = Arc::new(PendingReplies::default());
+                let service = service_fn(move |request| {
+                    respond(Arc::clone(&handler), Arc::clone(&pending), request)
+                });
                 let connection = hyper::server::conn::http1::Builder::new()
                     .serve_connection(TokioIo::new(stream), service);
                 connections.spawn(async move {
@@ -141,11 +182,13 @@
 
 async fn respond(
     handler: Arc<dyn Handler>,
+    pending: Arc<PendingReplies>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, io::Error> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
-    match handler.handle(Request::from_parts(head, body)).await {
+    let reply = handler.handle(Request::from_parts(head, body)).await;
+    match pending.exchange(reply) {
         Reply::Json(status, value) => {
             let bytes = Bytes::from(value.to_string());
             response(status, &[("content-type", "application/json".to_owned())], full_body(bytes))
@@ -157,7 +200,7 @@
         }
         Reply::StreamWith(headers, rx) => response(200, &headers, stream_body(rx)),
         Reply::Hang => std::future::pending().await,
-        Reply::Reset => Err(io::ErrorKind::ConnectionReset.into()),
+        Reply::Reset | Reply::Twice(_) => Err(io::ErrorKind::ConnectionReset.into()),
     }
 }
 
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -2,7 +2,6 @@
 //! orders, or a plain service.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,9 +22,13 @@
 use tokio::time::sleep;
 
 use crate::Handler;
+use crate::RefusalKind;
+use crate::RepeatedReply;
 use crate::Reply;
+use crate::ResponseFault;
 use crate::Server;
 use crate::StoreStandin;
+use crate::TargetFaults;
 use crate::server::lock;
 
 const FIRST_EVENT_ID: u64 = 0;
@@ -34,46 +37,6 @@
 /// Time from an accepted order until its version is active.
 const LOAD_TIME: Duration = Duration::from_millis(80);
 
-/// What is wrong with a target's responses to requests.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum ResponseFault {
-    /// Nothing.
-    #[default]
-    None,
-    /// Status 500, after the request ran.
-    Error,
-    /// Status 503, with a header that says that the request did not run.
-    Busy,
-    /// No response, after the request ran.
-    Hang,
-    /// The id of another request, after the request ran.
-    WrongId,
-}
-
-/// The faults to inject into a target.
-#[derive(Clone, Debug, Default)]
-pub struct TargetFaults {
-    /// What is wrong with its responses.
-    pub response: ResponseFault,
-    /// Streams are reset after this many events.
-    pub reset_after_events: Option<u64>,
-    /// Ids of requests that always fail.
-    pub failing_ids: BTreeSet<String>,
-    /// Bodies of requests under which it crashes: it runs the request, closes the
-    /// connection without a response, and starts again after a moment.
-    pub crashing_bodies: BTreeSet<String>,
-    /// Orders get no response and are executed after this delay.
-    pub order_delay: Option<Duration>,
-    /// No call gets a response.
-    pub silent: bool,
-    /// It states in its responses that it is leaving; its heartbeats don't.
-    pub states_leaving: bool,
-    /// One in this many requests is refused as not run, without a limit.
-    pub refuse_every: Option<u64>,
-    /// Requests a second that it states to accept from all hosts together.
-    pub rate_limit: Option<f64>,
-}
-
 /// A request that ran on a target.
 #[derive(Clone, Debug)]
 pub struct RequestRun {
@@ -336,7 +299,10 @@
         let Ok(order) = serde_json::from_slice::<Order>(request.body()) else {
             return Reply::Json(400, json!({}));
         };
-        let delay = lock(&self.state).faults.order_delay;
+        let (delay, refused_orders) = {
+            let faults = &lock(&self.state).faults;
+            (faults.order_delay, faults.refused_orders)
+        };
         let received = ReceivedOrder {
             holder: order.holder.clone(),
             fence: order.fence,
@@ -344,7 +310,14 @@
             received: Instant::now(),
             engine: self.spec.id.clone(),
         };
-        lock(&self.state).received_orders.push(received);
+        let order_count = {
+            let mut state = lock(&self.state);
+            state.received_orders.push(received);
+            state.received_orders.len()
+        };
+        if order_count <= refused_orders {
+            return Reply::Json(409, json!({}));
+        }
         let Some(delay) = delay else {
             return Reply::Json(self.execute(&order), json!({}));
         };
@@ -389,7 +362,7 @@
         let arrived = lock(&self.state).count_arrival();
         let refused = faults.refuse_every.is_some_and(|every| arrived.is_multiple_of(every));
         if refused || faults.response == ResponseFault::Busy {
-            return Reply::Bytes(503, vec![("not-run", "1".to_owned())], Bytes::new());
+            return refusal(faults.refusal, id);
         }
         let last_event_id = number("last-event-id");
         let run = self.start_run(RequestRun {
@@ -497,10 +470,29 @@
         if lock(&self.state).is_down() {
             return Reply::Reset;
         }
-        match (request.method(), request.uri().path()) {
-            (&Method::GET, "/v1/report") => self.report_load(),
-            (&Method::POST, "/v1/order") => self.handle_order(&request),
-            _ => self.handle_request(request).await,
+        let repeated = lock(&self.state).faults.repeated;
+        let (kind, reply) = match (request.method(), request.uri().path()) {
+            (&Method::GET, "/v1/report") => (RepeatedReply::Reports, self.report_load()),
+            (&Method::POST, "/v1/order") => return self.handle_order(&request),
+            _ => match self.handle_request(request).await {
+                reply @ Reply::Bytes(421 | 503, ..) => (RepeatedReply::Refusals, reply),
+                reply => (RepeatedReply::Answers, reply),
+            },
+        };
+        if repeated == Some(kind) { Reply::Twice(Box::new(reply)) } else { reply }
+    }
+}
+
+/// Returns the reply to a request that did not run.
+fn refusal(kind: RefusalKind, id: String) -> Reply {
+    let not_run = ("not-run", "1".to_owned());
+    match kind {
+        RefusalKind::Full => Reply::Bytes(503, vec![not_run], Bytes::new()),
+        RefusalKind::FullWithId => {
+            Reply::Bytes(503, vec![not_run, ("attempt-id", id)], Bytes::new())
+        }
+        RefusalKind::OtherTarget => {
+            Reply::Bytes(421, vec![("instance-id", "another".to_owned())], Bytes::new())
         }
     }
 }
