Orders: a connection for each, and reports in a pool of their own

What operators saw: after an order that the engine refused, the engine could get no other for 2.6 s, and the log said that it had the version already. No wrong version was recorded.

Cause: reports and orders carry no id, and shared connections with callers' requests and items. A target may send a response twice, the second copy where the next response is due. An order took any copy with status 200 for its own answer, which then meant "already applied". Class: a response is attributed by its place on a connection that others use.

Ruled out: a wrong version from the copy of a report. Versions of an incarnation only increase, and a restart ends its connections. An id on our own calls: an engine that runs a request with an id that no client sent breaks a rule.

Change: each order has a connection of its own; reports have a pool of their own, where a late copy is an older report of the same incarnation. An order that is refused as outdated replaces that pool.

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -62,6 +62,17 @@
 
 type Pool = Client<LimitedConnector, Full<Bytes>>;
 
+/// Whether a connection is used again after a response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Reuse {
+    /// After each complete response.
+    #[default]
+    Always,
+    /// Never: each request has its own connection, so that no response to
+    /// another request can be taken for its own.
+    Never,
+}
+
 /// Sends requests over pooled connections.
 ///
 /// Each pool belongs to one peer. When a request on one of its connections
@@ -74,6 +85,7 @@
 pub struct HttpClient {
     pools: ArcSwap<HashMap<SocketAddr, Arc<Pool>>>,
     budget: Arc<ByteBudget>,
+    reuse: Reuse,
 }
 
 impl Default for HttpClient {
@@ -87,6 +99,7 @@
         f.debug_struct("HttpClient")
             .field("pools", &self.pools.load().len())
             .field("budget", &self.budget)
+            .field("reuse", &self.reuse)
             .finish()
     }
 }
@@ -96,7 +109,14 @@
     /// which several clients may share.
     #[must_use]
     pub fn new(budget: Arc<ByteBudget>) -> Self {
-        Self { pools: ArcSwap::default(), budget }
+        Self { pools: ArcSwap::default(), budget, reuse: Reuse::default() }
+    }
+
+    /// Sets whether connections are used again.
+    #[must_use]
+    pub fn with_reuse(mut self, reuse: Reuse) -> Self {
+        self.reuse = reuse;
+        self
     }
 
     /// Returns the size of the largest body that is read, in bytes.
@@ -299,7 +319,7 @@
         if let Some(pool) = self.pools.load().get(&peer) {
             return Arc::clone(pool);
         }
-        let new = Arc::new(new_pool(self.max_response_bytes()));
+        let new = Arc::new(new_pool(self.max_response_bytes(), self.reuse));
         self.pools.rcu(|pools| {
             let mut pools = HashMap::clone(pools);
             pools.entry(peer).or_insert_with(|| Arc::clone(&new));
@@ -309,7 +329,7 @@
     }
 }
 
-fn new_pool(max_response_bytes: usize) -> Pool {
+fn new_pool(max_response_bytes: usize, reuse: Reuse) -> Pool {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
@@ -319,7 +339,11 @@
     connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
     // If a pooled connection closes before the request is sent, the client
     // sends it on a new one; it never repeats a request that was sent.
-    Client::builder(TokioExecutor::new())
+    let mut builder = Client::builder(TokioExecutor::new());
+    if reuse == Reuse::Never {
+        builder.pool_max_idle_per_host(0);
+    }
+    builder
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .http1_max_buf_size(MAX_HEAD_BYTES)
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -37,6 +37,7 @@
 pub use crate::error::PlatformError;
 pub use crate::http_client::BodyBuffer;
 pub use crate::http_client::HttpClient;
+pub use crate::http_client::Reuse;
 pub use crate::log::Log;
 pub use crate::log::LogPage;
 pub use crate::log::LogRecord;
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -4,6 +4,7 @@
 
 use cassia_clients::ByteBudget;
 use cassia_clients::HttpClient;
+use cassia_clients::Reuse;
 use cassia_clients::Store;
 use cassia_node::Metrics;
 use cassia_node::MetricsPage;
@@ -21,8 +22,14 @@
 pub(crate) struct App {
     pub(crate) state: SharedState,
     pub(crate) store: Arc<dyn Store>,
-    /// Client of the targets.
+    /// Client of the targets, for requests and items.
     pub(crate) client: HttpClient,
+    /// Client of the targets for reports only. A response has no id, but the
+    /// late copy of another one is an older report of the same target.
+    pub(crate) report_client: HttpClient,
+    /// Client of the targets for orders. A response has no id, so no other one
+    /// may come on the connection.
+    pub(crate) order_client: HttpClient,
     pub(crate) clock: Box<dyn Clock>,
     pub(crate) job_log: JobLog,
     /// The requests under which targets crashed.
@@ -48,7 +55,9 @@
             quarantine: Quarantine::default(),
             body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
             store,
-            client: HttpClient::new(response_budget),
+            client: HttpClient::new(Arc::clone(&response_budget)),
+            report_client: HttpClient::new(Arc::clone(&response_budget)),
+            order_client: HttpClient::new(response_budget).with_reuse(Reuse::Never),
             clock: Box::new(BootClock::new()),
             metrics: Metrics::to_page(&page),
             page,
--- a/crates/serve/src/order.rs
+++ b/crates/serve/src/order.rs
@@ -100,7 +100,7 @@
         app.state.heartbeats.load().iter().find(|heartbeat| heartbeat.id == *id)?.clone();
     let deadline = Instant::now() + REPORT_TIMEOUT;
     let request = report_request(heartbeat.addr).ok()?;
-    let response = app.client.fetch("report", heartbeat.addr, request, deadline).await;
+    let response = app.report_client.fetch("report", heartbeat.addr, request, deadline).await;
     let report = match response {
         Ok(response) => decode_report(response.body()),
         Err(e) => {
@@ -150,13 +150,20 @@
         return OrderOutcome::Refused;
     }
     let deadline = Instant::now() + ORDER_TIMEOUT;
-    let response = app.client.send_any_status("order", heartbeat.addr, request, deadline).await;
+    let response =
+        app.order_client.send_any_status("order", heartbeat.addr, request, deadline).await;
     let (load_outcome, outcome) = match &response {
         Ok(response) => match decode_order_response(response.status()) {
             outcome @ (OrderResponse::Accepted | OrderResponse::AlreadyApplied) => {
                 (OrderOutcome::Loading, outcome.to_string())
             }
-            outcome => (OrderOutcome::Refused, outcome.to_string()),
+            outcome => {
+                if outcome == OrderResponse::Conflict {
+                    // The report was outdated, perhaps a late copy.
+                    app.report_client.drop_pool(heartbeat.addr);
+                }
+                (OrderOutcome::Refused, outcome.to_string())
+            }
         },
         Err(e) if e.kind == ErrorKind::Connect => (OrderOutcome::Unreachable, e.to_string()),
         // The engine may still carry it out, but not after a later order: it
--- a/crates/trials/tests/platform_repeated_replies.rs
+++ b/crates/trials/tests/platform_repeated_replies.rs
@@ -48,6 +48,11 @@
     assert!(orders.len() >= 2, "{orders:?}");
     let waited = orders[1].received - orders[0].received;
     assert!(waited < MAX_TIME_TO_NEXT_ORDER, "the next order came after {waited:?}");
+    for version in 3..=5 {
+        env.publish_version(version);
+        let loaded = || async { engine.version() == version };
+        anyhow::ensure!(eventually(loaded).await, "the engine never loaded version {version}");
+    }
     Ok(())
 }
 
