Serve: no second request on a connection after a refusal

What callers saw: a request that is not idempotent ran two or three times, or was answered 503, which promises that it has not run, although it had.

Cause: a refusal (503 with the header for not run, 421) carries no id, and a failure without an id passed for the answer of the request that was on the connection. So the late copy of one request's refusal was taken for the next one's. Class: a response is attributed by its place on a connection that others use.

Ruled out: comparing ids more strictly. Nearly all refusals carry none and come on used connections, so each would be a request lost with unknown outcome; and ids don't tell the attempts of one request apart.

Change: the client of targets uses a connection again only after a response that names its request and is no refusal, by a rule that the program gives to cassia-clients. It holds for requests, streams, items and reward calls alike. A connection whose response arrived after its request was dropped is not used again either.

Of connection_reuse, the cases not_allowed and that of the response nobody read fail without the mechanism.

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -32,6 +32,9 @@
 use crate::Reservation;
 use crate::limited_stream::HeadLimit;
 use crate::limited_stream::LimitedConnector;
+use crate::reuse::Attribution;
+use crate::reuse::Reuse;
+use crate::reuse::ReuseDecision;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -62,17 +65,6 @@
 
 type Pool = Client<LimitedConnector, Full<Bytes>>;
 
-/// Whether a connection is used again after a response.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Reuse {
-    /// After each complete response.
-    #[default]
-    Always,
-    /// Never: each request has its own connection, so that no response to
-    /// another request can be taken for its own.
-    Never,
-}
-
 /// Sends requests over pooled connections.
 ///
 /// Each pool belongs to one peer. When a request on one of its connections
@@ -166,10 +158,11 @@
         &self,
         step: &'static str,
         peer: SocketAddr,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, PlatformError> {
         let pool = self.pool(peer);
+        let decision = ReuseDecision::new(self.reuse, &mut request);
         let error = |kind, detail| {
             let peer = format_smolstr!("{peer}");
             PlatformError { step, peer, kind, detail }
@@ -179,7 +172,13 @@
                 if let Some(limit) = response.extensions().get::<HeadLimit>() {
                     limit.head_received();
                 }
-                Ok(response)
+                match decision.decide(&response) {
+                    Attribution::Certain => Ok(response),
+                    Attribution::Uncertain => {
+                        let detail = "it may be the response to another request".to_owned();
+                        Err(error(ErrorKind::InvalidResponse, detail))
+                    }
+                }
             }
             Ok(Err(e)) if e.is_connect() => Err(error(ErrorKind::Connect, e.to_string())),
             Ok(Err(e)) => Err(error(ErrorKind::Incomplete, e.to_string())),
@@ -340,7 +339,7 @@
     // If a pooled connection closes before the request is sent, the client
     // sends it on a new one; it never repeats a request that was sent.
     let mut builder = Client::builder(TokioExecutor::new());
-    if reuse == Reuse::Never {
+    if matches!(reuse, Reuse::Never) {
         builder.pool_max_idle_per_host(0);
     }
     builder
--- a/crates/clients/src/limited_stream.rs
+++ b/crates/clients/src/limited_stream.rs
@@ -26,6 +26,8 @@
 use tokio::net::TcpStream;
 use tower_service::Service;
 
+use crate::reuse::Retired;
+
 /// How many bytes a connection may still read until the head of a response is
 /// known. A response carries it among its extensions.
 #[derive(Clone, Debug)]
@@ -122,7 +124,7 @@
 
 impl Connection for LimitedStream {
     fn connected(&self) -> Connected {
-        self.stream.connected().extra(self.limit.clone())
+        self.stream.connected().extra(self.limit.clone()).extra(Retired::default())
     }
 }
 
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -10,6 +10,7 @@
 use cassia_node::MetricsPage;
 
 use crate::body;
+use crate::call;
 use crate::clock::BootClock;
 use crate::clock::Clock;
 use crate::flags::ServeSettings;
@@ -55,7 +56,8 @@
             quarantine: Quarantine::default(),
             body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
             store,
-            client: HttpClient::new(Arc::clone(&response_budget)),
+            client: HttpClient::new(Arc::clone(&response_budget))
+                .with_reuse(Reuse::If(call::may_reuse_connection)),
             report_client: HttpClient::new(Arc::clone(&response_budget)),
             order_client: HttpClient::new(response_budget).with_reuse(Reuse::Never),
             clock: Box::new(BootClock::new()),
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use cassia_adapter::RequestHead;
 use cassia_adapter::ResponseHead;
+use cassia_adapter::decode_request_id;
 use cassia_adapter::decode_response_head;
 use cassia_adapter::strip_hop_by_hop;
 use cassia_adapter::target_request;
@@ -404,6 +405,20 @@
     head.id.as_ref().map_or(!status.is_success(), |answered| answered == id)
 }
 
+/// Returns whether the next request may use the connection of this response.
+///
+/// A target may send a second copy of it, which then comes where the next
+/// response is due and must not pass for that one. It does if it has no id; a
+/// refusal does even with an id, as the request may be sent again.
+pub(crate) fn may_reuse_connection(
+    request: &HeaderMap,
+    status: StatusCode,
+    response: &HeaderMap,
+) -> bool {
+    let head = decode_response_head(status, response);
+    !head.not_run && head.id.is_some() && head.id == decode_request_id(request)
+}
+
 /// Records what a target's response states about the target.
 pub(crate) fn record_load(app: &App, in_flight: &InFlight, head: &ResponseHead) {
     let targets = app.state.targets.load();
