--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -32,6 +32,9 @@
 use crate::Reservation;
 use crate::limited_stream::HeadLimit;
 use crate::limited_stream::LimitedConnector;
+use crate::reuse::Attribution;
+use crate::reuse::Reuse;
+use crate::reuse::ReuseDecision;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -74,6 +77,7 @@
 pub struct HttpClient {
     pools: ArcSwap<HashMap<SocketAddr, Arc<Pool>>>,
     budget: Arc<ByteBudget>,
+    reuse: Reuse,
 }
 
 impl Default for HttpClient {
@@ -87,6 +91,7 @@
         f.debug_struct("HttpClient")
             .field("pools", &self.pools.load().len())
             .field("budget", &self.budget)
+            .field("reuse", &self.reuse)
             .finish()
     }
 }
@@ -96,7 +101,14 @@
     /// which several clients may share.
     #[must_use]
     pub fn new(budget: Arc<ByteBudget>) -> Self {
-        Self { pools: ArcSwap::default(), budget }
+        Self { pools: ArcSwap::default(), budget, reuse: Reuse::default() }
+    }
+
+    /// Sets whether connections are used again.
+    #[must_use]
+    pub fn with_reuse(mut self, reuse: Reuse) -> Self {
+        self.reuse = reuse;
+        self
     }
 
     /// Returns the size of the largest body that is read, in bytes.
@@ -146,10 +158,11 @@
         &self,
         step: &'static str,
         peer: SocketAddr,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, PlatformError> {
         let pool = self.pool(peer);
+        let decision = ReuseDecision::new(self.reuse, &mut request);
         let error = |kind, detail| {
             let peer = format_smolstr!("{peer}");
             PlatformError { step, peer, kind, detail }
@@ -159,7 +172,13 @@
                 if let Some(limit) = response.extensions().get::<HeadLimit>() {
                     limit.head_received();
                 }
-                Ok(response)
+                match decision.decide(&response) {
+                    Attribution::Certain => Ok(response),
+                    Attribution::Uncertain => {
+                        let detail = "it may be the response to another request".to_owned();
+                        Err(error(ErrorKind::InvalidResponse, detail))
+                    }
+                }
             }
             Ok(Err(e)) if e.is_connect() => Err(error(ErrorKind::Connect, e.to_string())),
             Ok(Err(e)) => Err(error(ErrorKind::Incomplete, e.to_string())),
@@ -299,7 +318,7 @@
         if let Some(pool) = self.pools.load().get(&peer) {
             return Arc::clone(pool);
         }
-        let new = Arc::new(new_pool(self.max_response_bytes()));
+        let new = Arc::new(new_pool(self.max_response_bytes(), self.reuse));
         self.pools.rcu(|pools| {
             let mut pools = HashMap::clone(pools);
             pools.entry(peer).or_insert_with(|| Arc::clone(&new));
@@ -309,7 +328,7 @@
     }
 }
 
-fn new_pool(max_response_bytes: usize) -> Pool {
+fn new_pool(max_response_bytes: usize, reuse: Reuse) -> Pool {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
@@ -319,7 +338,11 @@
     connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
     // If a pooled connection closes before the request is sent, the client
     // sends it on a new one; it never repeats a request that was sent.
-    Client::builder(TokioExecutor::new())
+    let mut builder = Client::builder(TokioExecutor::new());
+    if matches!(reuse, Reuse::Never) {
+        builder.pool_max_idle_per_host(0);
+    }
+    builder
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .http1_max_buf_size(MAX_HEAD_BYTES)
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -21,6 +21,7 @@
 mod log;
 mod log_http;
 mod platform_http;
+mod reuse;
 mod services;
 mod store;
 
@@ -44,6 +45,8 @@
 pub use crate::log::LogRecord;
 pub use crate::log_http::HttpLog;
 pub use crate::platform_http::HttpPlatform;
+pub use crate::reuse::Reuse;
+pub use crate::reuse::ReuseRule;
 pub use crate::services::LatestVersion;
 pub use crate::services::PlainService;
 pub use crate::services::Scorer;
--- a/crates/clients/src/limited_stream.rs
+++ b/crates/clients/src/limited_stream.rs
@@ -27,6 +27,7 @@
 use tower_service::Service;
 
 use crate::answered::AnsweredRequests;
+use crate::reuse::Retired;
 
 /// How many bytes a connection may still read until the head of a response is
 /// known. A response carries it among its extensions.
@@ -125,7 +126,8 @@
 
 impl Connection for LimitedStream {
     fn connected(&self) -> Connected {
-        self.stream.connected().extra(self.limit.clone()).extra(self.answered.clone())
+        let connected = self.stream.connected().extra(self.limit.clone());
+        connected.extra(self.answered.clone()).extra(Retired::default())
     }
 }
 
