Serve: a request that its target has answered goes there again on a connection of its own

Non-idempotent requests were not covered at all.

Cause: detected what may be a copy after it had come, where a copy and a genuine answer look the same. Now it can't come: hosts remember the latest requests that targets answered, and send one again on a new connection that nothing was answered on.

With it, the merged rule that a connection is not used again after a refusal holds for requests that run at most once and for streams only. A copied refusal harms a request that may run twice no more than a slow target does.

In platform_late_copies the last check, that copies were sent, now follows a job of other items: the repeated requests no longer meet a connection on which one could be sent. It asks more than before, as these items must complete beside the copies.

--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -11,7 +11,6 @@
 //! assert!(format!("{platform:?}").contains("HttpPlatform"));
 //! ```
 
-mod answered;
 mod budget;
 mod engine;
 mod engine_http;
@@ -25,7 +24,6 @@
 mod services;
 mod store;
 
-pub use crate::answered::may_be_copy;
 pub use crate::budget::BudgetExceeded;
 pub use crate::budget::ByteBudget;
 pub use crate::budget::Reservation;
--- a/crates/clients/src/limited_stream.rs
+++ b/crates/clients/src/limited_stream.rs
@@ -26,7 +26,6 @@
 use tokio::net::TcpStream;
 use tower_service::Service;
 
-use crate::answered::AnsweredRequests;
 use crate::reuse::Retired;
 
 /// How many bytes a connection may still read until the head of a response is
@@ -110,7 +109,7 @@
         let connecting = self.connector.call(uri);
         async move {
             let stream = connecting.await?.into_inner();
-            Ok(TokioIo::new(LimitedStream { stream, limit, answered: AnsweredRequests::default() }))
+            Ok(TokioIo::new(LimitedStream { stream, limit }))
         }
         .boxed()
     }
@@ -121,13 +120,11 @@
 pub(crate) struct LimitedStream {
     stream: TcpStream,
     limit: HeadLimit,
-    answered: AnsweredRequests,
 }
 
 impl Connection for LimitedStream {
     fn connected(&self) -> Connected {
-        let connected = self.stream.connected().extra(self.limit.clone());
-        connected.extra(self.answered.clone()).extra(Retired::default())
+        self.stream.connected().extra(self.limit.clone()).extra(Retired::default())
     }
 }
 
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -3,34 +3,26 @@
 use std::sync::Arc;
 
 use cassia_clients::ByteBudget;
-use cassia_clients::HttpClient;
-use cassia_clients::Reuse;
 use cassia_clients::Store;
 use cassia_node::Metrics;
 use cassia_node::MetricsPage;
 
 use crate::body;
-use crate::call;
 use crate::clock::BootClock;
 use crate::clock::Clock;
 use crate::flags::ServeSettings;
 use crate::job_log::JobLog;
 use crate::quarantine::Quarantine;
 use crate::state::SharedState;
+use crate::target_clients::TargetClients;
 
 /// The shared state and the clients of other systems.
 #[derive(Debug)]
 pub(crate) struct App {
     pub(crate) state: SharedState,
     pub(crate) store: Arc<dyn Store>,
-    /// Client of the targets, for requests and items.
-    pub(crate) client: HttpClient,
-    /// Client of the targets for reports only. A response has no id, but the
-    /// late copy of another one is an older report of the same target.
-    pub(crate) report_client: HttpClient,
-    /// Client of the targets for orders. A response has no id, so no other one
-    /// may come on the connection.
-    pub(crate) order_client: HttpClient,
+    /// Clients of the targets.
+    pub(crate) clients: TargetClients,
     pub(crate) clock: Box<dyn Clock>,
     pub(crate) job_log: JobLog,
     /// The requests under which targets crashed.
@@ -47,7 +39,7 @@
     pub(crate) fn new(
         settings: &ServeSettings,
         store: Arc<dyn Store>,
-        response_budget: Arc<ByteBudget>,
+        response_budget: &Arc<ByteBudget>,
     ) -> Self {
         let page = MetricsPage::default();
         Self {
@@ -56,10 +48,7 @@
             quarantine: Quarantine::default(),
             body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
             store,
-            client: HttpClient::new(Arc::clone(&response_budget))
-                .with_reuse(Reuse::If(call::may_reuse_connection)),
-            report_client: HttpClient::new(Arc::clone(&response_budget)),
-            order_client: HttpClient::new(response_budget).with_reuse(Reuse::Never),
+            clients: TargetClients::new(response_budget),
             clock: Box::new(BootClock::new()),
             metrics: Metrics::to_page(&page),
             page,
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -7,13 +7,11 @@
 use bytes::Bytes;
 use cassia_adapter::RequestHead;
 use cassia_adapter::ResponseHead;
-use cassia_adapter::decode_request_id;
 use cassia_adapter::decode_response_head;
 use cassia_adapter::strip_hop_by_hop;
 use cassia_adapter::target_request;
 use cassia_clients::ErrorKind;
 use cassia_clients::PlatformError;
-use cassia_clients::may_be_copy;
 use cassia_ids::RequestId;
 use cassia_ids::TargetId;
 use cassia_quarantine::RequestDigest;
@@ -29,6 +27,7 @@
 use http::HeaderMap;
 use http::Method;
 use http::Response;
+use http::StatusCode;
 use http::Uri;
 use http::uri::PathAndQuery;
 use hyper::body::Incoming;
@@ -41,6 +40,7 @@
 use crate::response::Body;
 use crate::response::Refusal;
 use crate::response::full_body;
+use crate::target_clients::Repeats;
 
 /// A second target is tried if the first one has not answered after this
 /// percentage of the route's latency objective.
@@ -235,6 +235,13 @@
         attempts.into_outcome()
     }
 
+    fn repeats(&self) -> Repeats {
+        match self.route.kind {
+            RouteKind::Idempotent => Repeats::Allowed,
+            _ => Repeats::AtMostOnce,
+        }
+    }
+
     fn hedge_delay(&self) -> Duration {
         let slo = Duration::from_millis(self.route.slo_ms.max(MIN_SLO_MS));
         slo * HEDGE_DELAY_PERCENT / 100
@@ -297,7 +304,9 @@
         // The caller of this function drops the future at the deadline: a
         // target that has not answered by then has not failed.
         let deadline = self.deadline + DEADLINE_SLACK;
-        match self.app.client.send_any_status("call", info.addr, request, deadline).await {
+        let clients = &self.app.clients;
+        let sent = clients.send("call", self.repeats(), info.addr, self.id, request, deadline);
+        match sent.await {
             Ok(response) => {
                 guard.mark_answered();
                 self.read_response(&in_flight, response).await
@@ -313,11 +322,13 @@
     ) -> AttemptOutcome {
         let info = &in_flight.target().info;
         let head = decode_response_head(response.status(), response.headers());
-        let answer_of = answer_of(self.id, &response, &head);
-        if answer_of != AnswerOf::This {
-            drop_misaligned(self.app, self.id, answer_of, in_flight);
+        if !is_answer_to(self.id, response.status(), &head) {
+            drop_misaligned(self.app, "call", self.id, in_flight);
             return AttemptOutcome::Unknown;
         }
+        if !head.not_run {
+            self.app.clients.record_answer(info.addr, self.id);
+        }
         record_load(self.app, in_flight, &head);
         if head.not_run {
             let (id, peer, load) = (self.id.as_str(), info.id.as_str(), head.load);
@@ -325,7 +336,7 @@
             return AttemptOutcome::NotRun;
         }
         let deadline = self.deadline + DEADLINE_SLACK;
-        match self.app.client.read_body("call", info.addr, response, deadline).await {
+        match self.app.clients.pooled().read_body("call", info.addr, response, deadline).await {
             Ok(response) => {
                 if let Some(digest) = self.digest {
                     self.app.quarantine.record_success(digest);
@@ -400,64 +411,23 @@
     }
 }
 
-/// Which request a response belongs to.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum AnswerOf {
-    /// The request that it came for.
-    This,
-    /// Another request.
-    Another,
-    /// This request or an earlier run of it: the response may be the late copy
-    /// of that run's.
-    ThisOrEarlierRun,
-}
-
-impl AnswerOf {
-    /// Returns the value that is logged.
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::This => "this_request",
-            Self::Another => "another_request",
-            Self::ThisOrEarlierRun => "this_or_earlier_run",
-        }
-    }
-}
-
-/// Returns which request a response belongs to that came for the one with this
-/// id. A success must say so: without an id it may be the late copy of another
-/// one's.
-pub(crate) fn answer_of<B>(id: &str, response: &Response<B>, head: &ResponseHead) -> AnswerOf {
-    let may_be_copy = may_be_copy(response, id);
+/// Returns whether a response answers the request with this id. One that ran must
+/// say so: without an id it may be the late copy of another one's answer. So may a
+/// success without the target's signature.
+pub(crate) fn is_answer_to(id: &str, status: StatusCode, head: &ResponseHead) -> bool {
     match &head.id {
-        Some(answered) if answered != id => AnswerOf::Another,
-        None if response.status().is_success() => AnswerOf::Another,
-        // A request that is refused time and again has not run either way.
-        _ if may_be_copy && !head.not_run => AnswerOf::ThisOrEarlierRun,
-        _ => AnswerOf::This,
+        Some(answered) => answered == id && (!status.is_success() || head.signature.is_some()),
+        None => head.not_run,
     }
 }
 
-/// Drops the connections on which a response that belongs to another request has
-/// come: the one that was due follows it.
-pub(crate) fn drop_misaligned(app: &App, id: &str, answer_of: AnswerOf, in_flight: &InFlight) {
+/// Drops the connections to a target on which another request's response has come:
+/// the one that was due follows it.
+pub(crate) fn drop_misaligned(app: &App, step: &str, id: &str, in_flight: &InFlight) {
     let info = &in_flight.target().info;
-    app.client.drop_pool(info.addr);
-    let (peer, of) = (info.id.as_str(), answer_of.as_str());
-    log::warn!(event = "foreign_answer", step = "call", id, peer, of; "dropped a response that may belong to another request");
-}
-
-/// Returns whether the next request may use the connection of this response.
-///
-/// A target may send a second copy of it, which then comes where the next
-/// response is due and must not pass for that one. It does if it has no id; a
-/// refusal does even with an id, as the request may be sent again.
-pub(crate) fn may_reuse_connection(
-    request: &HeaderMap,
-    status: StatusCode,
-    response: &HeaderMap,
-) -> bool {
-    let head = decode_response_head(status, response);
-    !head.not_run && head.id.is_some() && head.id == decode_request_id(request)
+    app.clients.drop_pools(info.addr);
+    let peer = info.id.as_str();
+    log::warn!(event = "foreign_answer", step, id, peer; "dropped a response that belongs to another request or to none");
 }
 
 /// Records what a target's response states about the target.
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -22,11 +22,11 @@
 
 use crate::app::App;
 use crate::attempts::is_failed_run;
-use crate::call::AnswerOf;
-use crate::call::answer_of;
 use crate::call::drop_misaligned;
+use crate::call::is_answer_to;
 use crate::call::log_attempt;
 use crate::call::record_load;
+use crate::target_clients::Repeats;
 
 /// Timeout of an item, as stated to the engine.
 const ITEM_TIMEOUT: Duration = Duration::from_secs(20);
@@ -115,7 +115,8 @@
             }
         };
         let deadline = Instant::now() + EVENT_TIMEOUT;
-        match self.app.client.send_any_status("generate", addr, request, deadline).await {
+        let (clients, id) = (&self.app.clients, &self.item.id);
+        match clients.send("generate", Repeats::Allowed, addr, id, request, deadline).await {
             Ok(response) => self.read_response(response, text).await,
             Err(e) => {
                 self.record_failure(&e.to_string());
@@ -130,11 +131,13 @@
 
     async fn read_response(&self, response: Response<Incoming>, text: &mut ItemText) -> RunOutcome {
         let head = decode_response_head(response.status(), response.headers());
-        let answer_of = answer_of(&self.item.id, &response, &head);
-        if answer_of != AnswerOf::This {
-            drop_misaligned(self.app, &self.item.id, answer_of, self.engine);
+        if !is_answer_to(&self.item.id, response.status(), &head) {
+            drop_misaligned(self.app, "generate", &self.item.id, self.engine);
             return self.interrupted("response to another request");
         }
+        if !head.not_run {
+            self.app.clients.record_answer(self.engine.target().info.addr, &self.item.id);
+        }
         record_load(self.app, self.engine, &head);
         self.record_version(&head);
         match response.status() {
@@ -175,7 +178,7 @@
         let mut timer = EventTimer { since: None, events: 0 };
         let (mut measurements, mut checked_at) = (0, 0);
         let mut parser = EventParser::new(VERSION_FIELD);
-        let mut reservation = self.app.client.reserve();
+        let mut reservation = self.app.clients.pooled().reserve();
         // Bytes that complete no event don't count as progress.
         let mut event_deadline = Instant::now() + EVENT_TIMEOUT;
         let mut store_at = Instant::now() + PROGRESS_INTERVAL;
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -25,6 +25,7 @@
 mod state;
 mod stream;
 mod submit;
+mod target_clients;
 mod targets;
 mod weights;
 
@@ -65,7 +66,7 @@
 async fn run(settings: ServeSettings) -> anyhow::Result<()> {
     let response_budget = Arc::new(ByteBudget::new(settings.response_buffer_bytes));
     let store = Arc::new(HttpStore::new(settings.store, Arc::clone(&response_budget)));
-    let app = Arc::new(App::new(&settings, store, response_budget));
+    let app = Arc::new(App::new(&settings, store, &response_budget));
     log::info!(event = "started", step = "start", host = settings.host.as_str(); "started");
     let _ops = settings.ops.map(|addr| ops::start(&app, addr)).transpose()?;
     let server = ingress::start(&settings, &app).await?;
--- a/crates/serve/src/order.rs
+++ b/crates/serve/src/order.rs
@@ -100,7 +100,7 @@
         app.state.heartbeats.load().iter().find(|heartbeat| heartbeat.id == *id)?.clone();
     let deadline = Instant::now() + REPORT_TIMEOUT;
     let request = report_request(heartbeat.addr).ok()?;
-    let response = app.report_client.fetch("report", heartbeat.addr, request, deadline).await;
+    let response = app.clients.reports().fetch("report", heartbeat.addr, request, deadline).await;
     let report = match response {
         Ok(response) => decode_report(response.body()),
         Err(e) => {
@@ -151,7 +151,7 @@
     }
     let deadline = Instant::now() + ORDER_TIMEOUT;
     let response =
-        app.order_client.send_any_status("order", heartbeat.addr, request, deadline).await;
+        app.clients.unshared().send_any_status("order", heartbeat.addr, request, deadline).await;
     let (load_outcome, outcome) = match &response {
         Ok(response) => match decode_order_response(response.status()) {
             outcome @ (OrderResponse::Accepted | OrderResponse::AlreadyApplied) => {
@@ -160,7 +160,7 @@
             outcome => {
                 if outcome == OrderResponse::Conflict {
                     // The report was outdated, perhaps a late copy.
-                    app.report_client.drop_pool(heartbeat.addr);
+                    app.clients.reports().drop_pool(heartbeat.addr);
                 }
                 (OrderOutcome::Refused, outcome.to_string())
             }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -26,13 +26,13 @@
 use hyper::body::Incoming;
 
 use crate::app::App;
-use crate::call::AnswerOf;
 use crate::call::OutgoingRequest;
-use crate::call::answer_of;
 use crate::call::drop_misaligned;
+use crate::call::is_answer_to;
 use crate::call::record_load;
 use crate::response::Body;
 use crate::response::Refusal;
+use crate::target_clients::Repeats;
 
 /// Handles a caller's request whose response is a stream.
 ///
@@ -88,12 +88,12 @@
         let Ok(request) = request else {
             return Refusal::BadRequest.response("stream");
         };
-        match app.client.send_any_status("stream", info.addr, request, deadline).await {
+        let (clients, repeats) = (&app.clients, Repeats::AtMostOnce);
+        match clients.send("stream", repeats, info.addr, &head.id, request, deadline).await {
             Ok(response) => {
                 let response_head = decode_response_head(response.status(), response.headers());
-                let answer_of = answer_of(&head.id, &response, &response_head);
-                if answer_of != AnswerOf::This {
-                    drop_misaligned(app, &head.id, answer_of, &in_flight);
+                if !is_answer_to(&head.id, response.status(), &response_head) {
+                    drop_misaligned(app, "stream", &head.id, &in_flight);
                     return Refusal::OutcomeUnknown.response("stream");
                 }
                 record_load(app, &in_flight, &response_head);
--- /dev/null
+++ b/crates/serve/src/target_clients.rs
@@ -0,0 +1,138 @@
+//! Which connections a call to a target uses.
+//!
+//! A target may send a response twice, the second copy late, where the next
+//! response on the connection is due. Most copies are told apart by the id of
+//! their request. Calls for which that is not enough have connections of their
+//! own.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use bytes::Bytes;
+use cassia_adapter::decode_request_id;
+use cassia_adapter::decode_response_head;
+use cassia_clients::ByteBudget;
+use cassia_clients::HttpClient;
+use cassia_clients::PlatformError;
+use cassia_clients::Reuse;
+use cassia_ids::RequestId;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::state::lock;
+
+/// Number of answers that are remembered.
+const MAX_ANSWERS: usize = 2_048;
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Repeats {
+    /// It may.
+    Allowed,
+    /// It must not.
+    AtMostOnce,
+}
+
+/// Clients of the targets, which differ in when they use a connection again.
+#[derive(Debug)]
+pub(crate) struct TargetClients {
+    /// For requests that may run more than once, and items.
+    pooled: HttpClient,
+    /// For requests that must not. A refusal often has no id, so none of them may
+    /// follow one on a connection.
+    at_most_once: HttpClient,
+    /// For reports. They have no id, but the late copy of one is an older report
+    /// of the same target.
+    reports: HttpClient,
+    /// For orders, whose responses have no id, and for requests that the target
+    /// has answered before. Each has a connection of its own.
+    unshared: HttpClient,
+    /// The latest requests that targets answered, by address and id.
+    answered: Mutex<VecDeque<(SocketAddr, RequestId)>>,
+}
+
+impl TargetClients {
+    /// Creates clients that buffer the bodies of responses within one budget.
+    pub(crate) fn new(budget: &Arc<ByteBudget>) -> Self {
+        let client = |reuse| HttpClient::new(Arc::clone(budget)).with_reuse(reuse);
+        Self {
+            pooled: client(Reuse::Always),
+            at_most_once: client(Reuse::If(may_reuse_connection)),
+            reports: client(Reuse::Always),
+            unshared: client(Reuse::Never),
+            answered: Mutex::default(),
+        }
+    }
+
+    /// Sends a request and returns the response once its head has arrived,
+    /// whatever its status.
+    pub(crate) async fn send(
+        &self,
+        step: &'static str,
+        repeats: Repeats,
+        addr: SocketAddr,
+        id: &str,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, PlatformError> {
+        let client = match repeats {
+            _ if self.was_answered(addr, id) => &self.unshared,
+            Repeats::Allowed => &self.pooled,
+            Repeats::AtMostOnce => &self.at_most_once,
+        };
+        client.send_any_status(step, addr, request, deadline).await
+    }
+
+    /// Records that a target ran a request and answered it. If it gets the request
+    /// again, the late copy of this answer must not pass for the next.
+    pub(crate) fn record_answer(&self, addr: SocketAddr, id: &str) {
+        let mut answered = lock(&self.answered);
+        if answered.len() == MAX_ANSWERS {
+            answered.pop_front();
+        }
+        answered.push_back((addr, id.into()));
+    }
+
+    fn was_answered(&self, addr: SocketAddr, id: &str) -> bool {
+        let answered = lock(&self.answered);
+        answered.iter().any(|(target, request)| *target == addr && request == id)
+    }
+
+    /// Drops a target's pools, so that the next request opens a new connection.
+    pub(crate) fn drop_pools(&self, addr: SocketAddr) {
+        self.pooled.drop_pool(addr);
+        self.at_most_once.drop_pool(addr);
+    }
+
+    /// Returns the client of requests that may run more than once.
+    pub(crate) fn pooled(&self) -> &HttpClient {
+        &self.pooled
+    }
+
+    /// Returns the client of reports.
+    pub(crate) fn reports(&self) -> &HttpClient {
+        &self.reports
+    }
+
+    /// Returns the client that uses no connection again.
+    pub(crate) fn unshared(&self) -> &HttpClient {
+        &self.unshared
+    }
+}
+
+/// Returns whether the next request may use the connection of this response.
+///
+/// A second copy of it may come where the next response is due and must not pass
+/// for that one. It would if it has no id; a refusal would even with an id, as the
+/// request may be sent again.
+fn may_reuse_connection(request: &HeaderMap, status: StatusCode, response: &HeaderMap) -> bool {
+    let head = decode_response_head(status, response);
+    !head.not_run && head.id.is_some() && head.id == decode_request_id(request)
+}
--- a/crates/trials/tests/platform_late_copies.rs
+++ b/crates/trials/tests/platform_late_copies.rs
@@ -32,6 +32,15 @@
     job
 }
 
+/// Runs other items, whose requests use the connections of earlier ones: the
+/// target does send second copies, and these items get their own answers.
+async fn run_other_items(env: &PlatformEnv, to: &Process) -> anyhow::Result<()> {
+    assert_eq!(env.submit_job(to, "others", &batch_job("others", 4, 1)).await.status, 202);
+    let results = env.all_results(to, "others").await.context("results")?;
+    assert!(results.iter().all(|result| result["state"] == "completed"), "{results:?}");
+    Ok(())
+}
+
 /// Guards against an item that is given up since the copy of one failure of its
 /// reward call was counted as another.
 #[tokio::test]
@@ -62,6 +71,7 @@
             .find(|run| result["score"] == format!("again-0-score-{run}"));
         last_run = run.with_context(|| format!("step {step}, after run {last_run}: {result}"))?;
     }
+    run_other_items(&env, &processes[0].1).await?;
     assert!(scorer.copy_count() > 0, "no second copy was sent");
     Ok(())
 }
@@ -86,6 +96,7 @@
             (last_run + 1..=engine.run_count("again-0")).find(|run| result["output"] == text(*run));
         last_run = run.with_context(|| format!("step {step}, after run {last_run}: {result}"))?;
     }
+    run_other_items(&env, &processes[0].1).await?;
     assert!(engine.copy_count() > 0, "no second copy was sent");
     Ok(())
 }
