Serve: an item whose reward call is never answered is given up after its retention

Found by a review: since the retry of reward calls goes on for other responses than 500, a call that is always answered 404 went on until the job's end; only the generation of the text looked at the retention. The reward call looks now, too.

an_item_whose_reward_call_is_never_answered_is_given_up_after_its_retention failed before (never given up in 60 s) and passes now (7 s: one second, and the difference of the hosts' clocks that is allowed for).

--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -239,9 +239,9 @@
         };
         let score = match &item.reward {
             None => String::new(),
-            Some(reward) => match self.fetch_score(&item.id, reward).await {
-                Some(score) => score.into(),
-                None => return Some((self.failed_result(index), ItemOutcome::RewardFailed)),
+            Some(reward) => match self.fetch_score(item, reward).await {
+                Ok(score) => score.into(),
+                Err(outcome) => return Some((self.failed_result(index), outcome)),
             },
         };
         let result = ItemResult {
@@ -356,10 +356,15 @@
         text.ok()
     }
 
-    /// Fetches the score of a text; `None` if the attempts are used up.
-    async fn fetch_score(&self, item: &str, reward: &Reward) -> Option<SmolStr> {
+    /// Fetches the score of an item's text, or returns why there is none.
+    async fn fetch_score(&self, item: &Item, reward: &Reward) -> Result<SmolStr, ItemOutcome> {
+        let id = item.id.as_str();
         let mut attempts = RetryState::default();
         loop {
+            let item_route = self.find_route(&self.submission.host, &item.path);
+            if item_route.is_some_and(|route| self.is_past_retention(&route)) {
+                return Err(ItemOutcome::PastRetention);
+            }
             let Some(route) = self.find_route(&reward.host, &reward.path) else {
                 sleep(NO_ROUTE_DELAY).await;
                 continue;
@@ -368,27 +373,30 @@
                 sleep(NO_ROUTE_DELAY).await;
                 continue;
             };
-            match self.call_scorer(reward, &route, service).await? {
+            let Some(outcome) = self.call_scorer(reward, &route, service).await else {
+                return Err(ItemOutcome::RewardFailed);
+            };
+            match outcome {
                 CallOutcome::Response(resp) => {
                     let is_success = resp.response.status().is_success();
                     if let Some(score) = resp.head.signature.filter(|_| is_success) {
-                        return Some(score);
+                        return Ok(score);
                     }
                     attempts.record_interruption();
                 }
                 CallOutcome::Failed(_, failures) => {
                     let call = reward.id.as_str();
-                    log::info!(event = "reward_failed", step = "score", id = item, call, failures; "all targets that ran it failed");
+                    log::info!(event = "reward_failed", step = "score", id, call, failures; "all targets that ran it failed");
                     for _ in 0..failures {
                         if attempts.record_failure(route.max_attempts) == RetryDecision::GiveUp {
-                            return None;
+                            return Err(ItemOutcome::RewardFailed);
                         }
                     }
                     attempts.record_interruption();
                 }
                 CallOutcome::Refused(refusal) => {
                     let (call, kind) = (reward.id.as_str(), refusal.kind());
-                    log::info!(event = "reward_refused", step = "score", id = item, call, kind; "no response of a target");
+                    log::info!(event = "reward_refused", step = "score", id, call, kind; "no response of a target");
                     attempts.record_interruption();
                 }
             }
--- a/crates/trials/tests/platform_rewards.rs
+++ b/crates/trials/tests/platform_rewards.rs
@@ -17,6 +17,8 @@
 /// Number of responses to a reward call after which each of its route's attempts
 /// has failed several times.
 const MANY_RESPONSES: usize = 10;
+/// Time in which a configuration change is in force.
+const PROPAGATION_TIME: Duration = Duration::from_secs(2);
 
 /// Guards against items that are given up although the targets of their reward
 /// calls never stated that these failed.
@@ -53,6 +55,32 @@
     Ok(())
 }
 
+/// Guards against reward calls that are repeated for good: an item is given up once
+/// the retention of its route has passed.
+#[tokio::test]
+async fn an_item_whose_reward_call_is_never_answered_is_given_up_after_its_retention()
+-> anyhow::Result<()> {
+    let env = PlatformEnv::start().await?.with_targets(1, 2).await?;
+    let processes = start_processes(&env, 1).await?;
+    let process = &processes[0].1;
+    let mut config = platform_config(2, true);
+    for route in config["routes"].as_array_mut().into_iter().flatten() {
+        route["retention_s"] = json!(1);
+    }
+    env.store.put("keyed.op", "config", Some(&config));
+    sleep(PROPAGATION_TIME).await;
+    for scorer in &env.targets[1..] {
+        let response = ResponseFault::Status(404);
+        scorer.set_faults(TargetFaults { response, ..TargetFaults::default() });
+    }
+    assert_eq!(env.submit_job(process, "j1", &batch_job("j1", 1, 1)).await.status, 202);
+    let listed = || async { env.results(process, "j1", 0).await.json()["next"] == 1 };
+    anyhow::ensure!(eventually(listed).await, "the item is never given up");
+    let results = env.results(process, "j1", 0).await.json();
+    assert_eq!(results["results"][0]["state"], "errored", "{results}");
+    Ok(())
+}
+
 /// Guards against items that are given up while the route of their reward calls
 /// has no service.
 #[tokio::test]
