Serve: no item begins after an outage before its partition is read

Cause: a job that starts waits until its partition is read to its end; a run that stands went on as soon as it had a slot. A host that is back from a cut so began items, resumed interrupted ones and repeated reward calls of jobs that had been ended meanwhile, until a read happened to bring the end.

Ruled out: a new owner that begins before it has read the end (its trial passes). Not tried: a request that was written in the cut and delivered after it.

Change: no run and no reward call of an item begins unless the job is open by what was read, and the partition was read to its end as of two seconds before the store's last return, or later. In the outage itself items go on as before. `items_wait` has `may_begin`.

--- a/crates/jobs/src/read_plan.rs
+++ b/crates/jobs/src/read_plan.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Returns the maximum size of the next read of records, in kilobytes.
+    #[must_use]
+    pub fn page_kb(&self) -> u32 {
+        self.page_kb
+    }
+
     /// Returns how long the next read may take.
     #[must_use]
     pub fn timeout(&self) -> Duration {
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -70,7 +70,7 @@
 #[derive(Debug)]
 pub(crate) struct JobContext {
     pub(crate) app: Arc<App>,
-    partition: u32,
+    pub(crate) partition: u32,
     pub(crate) submission: Submission,
     pub(crate) model: ModelName,
     tx: mpsc::UnboundedSender<JobOutput>,
@@ -360,6 +360,7 @@
     async fn fetch_score(&self, item: &str, reward: &Reward) -> Option<SmolStr> {
         let mut attempts = RetryState::default();
         loop {
+            self.wait_until_may_begin().await;
             let Some(route) = self.find_route(&reward.host, &reward.path) else {
                 sleep(NO_ROUTE_DELAY).await;
                 continue;
--- a/crates/serve/src/job_calls.rs
+++ b/crates/serve/src/job_calls.rs
@@ -9,6 +9,7 @@
 use cassia_clients::StoreError;
 use cassia_clients::StoreErrorKind;
 use cassia_jobs::JobRecord;
+use cassia_jobs::MAX_PAGE_KB;
 use cassia_jobs::ResultRef;
 use http::Response;
 use http::StatusCode;
@@ -93,7 +94,7 @@
                         encode_results(item_count, after, &[]),
                     ));
                 }
-                app.job_log.partition(partition).read_next(left, read_until).await?;
+                app.job_log.partition(partition).read_next(MAX_PAGE_KB, left, read_until).await?;
             }
         }
     }
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod config;
 mod flags;
+mod follow;
 mod generate;
 mod ingress;
 mod item;
--- a/crates/serve/src/partition_log.rs
+++ b/crates/serve/src/partition_log.rs
@@ -146,6 +146,30 @@
         lock(&self.table)
     }
 
+    /// Returns the number of the partition.
+    pub(crate) fn partition(&self) -> u32 {
+        self.partition
+    }
+
+    /// Returns whether the partition was read up to its end as of a time, or
+    /// later.
+    pub(crate) fn is_current_as_of(&self, time: Instant) -> bool {
+        lock(&self.reader).current_as_of >= Some(time)
+    }
+
+    /// Waits until a condition on what was read holds.
+    pub(crate) async fn wait_until(&self, condition: impl Fn() -> bool) {
+        loop {
+            let stepped = self.stepped.notified();
+            let mut stepped = std::pin::pin!(stepped);
+            stepped.as_mut().enable();
+            if condition() {
+                return;
+            }
+            stepped.await;
+        }
+    }
+
     pub(crate) fn in_topic<'a>(&self, topic: &'a str) -> PartitionRef<'a> {
         PartitionRef { topic, partition: self.partition }
     }
@@ -220,15 +244,17 @@
         }
     }
 
-    /// Reads the next records, and waits up to `wait` for the first one.
-    /// Returns whether the partition was read up to its end.
+    /// Reads up to `max_kb` kilobytes of the next records, and waits up to
+    /// `wait` for the first one. Returns whether the partition was read up to
+    /// its end.
     pub(crate) async fn read_next(
         &self,
+        max_kb: u32,
         wait: Duration,
         deadline: Instant,
     ) -> Result<bool, StoreError> {
         let began = Instant::now();
-        let at_end = self.read_page(MAX_PAGE_KB, wait, deadline).await?;
+        let at_end = self.read_page(max_kb, wait, deadline).await?;
         if at_end {
             lock(&self.reader).record_end(began);
             self.stepped.notify_waiters();
--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -16,14 +16,11 @@
 use tokio::time::sleep;
 
 use crate::app::App;
+use crate::follow::Follower;
 use crate::item::JobOutput;
 use crate::job::JobOutcome;
 use crate::job::JobRun;
 
-/// How long the store may hold a read back until there are records.
-const LONG_POLL: Duration = Duration::from_secs(1);
-/// How long a response of the store may take beyond the long poll.
-const READ_TIMEOUT: Duration = Duration::from_millis(600);
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// After how long reading a partition to its end is begun again.
 const FIRST_READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -55,15 +52,20 @@
     let appender = tokio::spawn(append_results(Arc::clone(&app), partition, rx));
     let mut jobs: HashMap<JobId, RunningJob> = HashMap::new();
     let mut snapshots = SnapshotWriter::new(Arc::clone(&app), partition);
+    let mut follower = Follower::default();
+    let mut store_back = app.state.store_back_at.subscribe();
     // From here on every record is read as it is appended.
     if read_from_snapshot(&app, partition).await {
         start_jobs(&app, partition, &mut jobs, &tx).await;
     }
     while is_owned(&app, partition) || jobs.values().any(RunningJob::is_running) {
-        let deadline = Instant::now() + LONG_POLL + READ_TIMEOUT;
-        let read = app.job_log.partition(partition).read_next(LONG_POLL, deadline);
+        let waits_for_records = follower.waits_for_records();
         let read = tokio::select! {
-            read = read => read,
+            read = follower.read(app.job_log.partition(partition)) => read,
+            _ = store_back.changed(), if waits_for_records => {
+                follower.read_at_once();
+                continue;
+            }
             // Without jobs there is no reason to wait for the read.
             () = wait_until_lost(&app, partition), if jobs.is_empty() => continue,
         };
--- a/crates/serve/src/slot.rs
+++ b/crates/serve/src/slot.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use cassia_ids::TargetId;
+use cassia_jobs::Job;
 use cassia_route::InFlight;
 use cassia_route::SlotPreference;
 use cassia_route::Target;
@@ -17,6 +18,10 @@
 
 /// Maximum wait for a notification of a free slot before checking again.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// How much older than the end of an outage the last complete read of a
+/// partition may be for its items to go on at once. It is less than the time
+/// in which the end of a job takes effect.
+const MAX_READ_AGE: Duration = Duration::from_secs(2);
 /// How long an item waits for a slot before that is logged, and how often it
 /// is logged again.
 const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -44,6 +49,26 @@
 }
 
 impl JobContext {
+    /// Returns whether runs and calls of items may begin: the job is open, as
+    /// far as the partition was read, and that is far enough.
+    ///
+    /// In an outage of the store items go on by what was read before. Once the
+    /// store is back, this process may have missed that the job was ended, and
+    /// reads the partition to its end first.
+    fn may_begin(&self) -> bool {
+        let log = self.app.job_log.partition(self.partition);
+        let back_at = *self.app.state.store_back_at.borrow();
+        let needed = back_at.and_then(|at| at.checked_sub(MAX_READ_AGE));
+        needed.is_none_or(|time| log.is_current_as_of(time))
+            && log.table().job(&self.submission.id).is_some_and(Job::is_open)
+    }
+
+    /// Waits until calls of items may begin. If the job is not open any more,
+    /// that is until the run of the job is aborted.
+    pub(crate) async fn wait_until_may_begin(&self) {
+        self.app.job_log.partition(self.partition).wait_until(|| self.may_begin()).await;
+    }
+
     /// Waits for a slot at an engine that may run the item; `None` if this
     /// process no longer owns the partition.
     ///
@@ -100,8 +125,8 @@
             }
         }
         let (id, job) = (self.item(index).id.as_str(), self.submission.id.as_str());
-        let min_version = self.submission.min_version;
-        log::info!(event = "items_wait", step = "choose", id, job, min_version, engines, fit = eligible; "no free slot at an engine with a new enough version");
+        let (min_version, may_begin) = (self.submission.min_version, self.may_begin());
+        log::info!(event = "items_wait", step = "choose", id, job, min_version, engines, fit = eligible, may_begin; "no free slot at an engine with a new enough version, or the partition is not read");
     }
 
     /// Claims a free slot at any engine if all engines have failed the item.
@@ -139,13 +164,16 @@
     }
 
     /// Finds an engine with a free slot that has a new enough version and is
-    /// allowed.
+    /// allowed; none if no run may begin.
     pub(crate) fn find_free_slot(
         &self,
         index: u32,
         preference: SlotPreference<'_>,
         is_allowed: impl Fn(&Target) -> bool,
     ) -> Option<Arc<Target>> {
+        if !self.may_begin() {
+            return None;
+        }
         let kind = self.target_kind(index)?;
         let state = &self.app.state;
         let is_eligible = |target: &Target| {
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -5,7 +5,7 @@
 //! | `routes`, `wanted` | the configuration controller | all |
 //! | `targets`, `versions` | the targets controller, and requests by their outcomes | all |
 //! | `store_lost_at` | the targets controller | calls about batch jobs, readiness |
-//! | `store_back_at` | the ownership controller | the targets controller |
+//! | `store_back_at` | the ownership controller | the targets controller, runners and items |
 //! | `owned` | the ownership controller | the runners |
 //! | `duty_rank` | the ownership controller | the weights controller |
 //! | `stopping` | the main task | all |
