--- a/crates/trials/tests/platform_recovery.rs
+++ b/crates/trials/tests/platform_recovery.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use cassia_jobs::JobRecord;
 use cassia_standin::Proxy;
+use cassia_standin::StoreFaults;
 use cassia_standin::TargetSpec;
 use cassia_standin::TargetStandin;
 use cassia_trials::PARTITIONS;
@@ -272,3 +273,29 @@
     assert_eq!(late, 0, "requests reached the removed target");
     Ok(())
 }
+
+/// Guards against a planned stop that spends its time on reads: in an outage of
+/// the store they fail at once, and the delay after each ended as the stop began.
+#[tokio::test]
+async fn a_planned_stop_in_an_outage_reads_the_store_at_intervals() -> anyhow::Result<()> {
+    const COUNTED: Duration = Duration::from_secs(1);
+    /// Some ten reads of each controller.
+    const MAX_BYTES: u64 = 100 << 10;
+    let env = PlatformEnv::start().await?.with_targets(1, 1).await?;
+    let link = Proxy::start(env.store.addr()).await?;
+    let mut process = env.start_process_with_store("h1", link.addr()).await?;
+    // A job whose results can't be stored makes the stop last.
+    env.targets[0].set_delay(Duration::from_millis(500));
+    assert_eq!(env.submit_job(&process, "j", &batch_job("j", ITEMS, 1)).await.status, 202);
+    let running = || async { !env.targets[0].running().is_empty() };
+    anyhow::ensure!(eventually(running).await, "no item is running");
+    env.store.set_faults(StoreFaults { busy: true, ..StoreFaults::default() });
+    process.terminate();
+    sleep(Duration::from_millis(300)).await;
+    let before = link.bytes_forwarded();
+    sleep(COUNTED).await;
+    let bytes = link.bytes_forwarded() - before;
+    assert!(process.wait(Duration::ZERO).await.is_none(), "the stop is over too soon");
+    assert!(bytes < MAX_BYTES, "{bytes} bytes to and from the store");
+    Ok(())
+}
