Serve: reads of the configuration pause in a planned stop

Callers saw nothing; the store got some hundred calls a second from each host that was stopped while it refused calls. Cause: the delay after a failed read ends when a stop begins, and the stop goes on. Ruled out: the readers of targets, which have a delay of their own in a stop. Change: the delay is not shortened.

--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -17,6 +17,7 @@
 use cassia_ids::Version;
 use cassia_node::ReadBackoff;
 use cassia_route::RouteTable;
+use tokio::time::sleep;
 
 use crate::app::App;
 
@@ -54,7 +55,8 @@
                 if !std::mem::replace(&mut store_failed, true) {
                     log::warn!(event = "store_away", step = e.step; "{e}");
                 }
-                app.state.sleep_unless_stopping(backoff.delay(RETRY_DELAY, rand::random())).await;
+                // Not shortened by a planned stop, in which the reads go on.
+                sleep(backoff.delay(RETRY_DELAY, rand::random())).await;
             }
         }
     }
