--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -70,7 +70,7 @@
 #[derive(Debug)]
 pub(crate) struct JobContext {
     pub(crate) app: Arc<App>,
-    partition: u32,
+    pub(crate) partition: u32,
     pub(crate) submission: Submission,
     pub(crate) model: ModelName,
     tx: mpsc::UnboundedSender<JobOutput>,
@@ -361,6 +361,7 @@
         let id = item.id.as_str();
         let mut attempts = RetryState::default();
         loop {
+            self.wait_until_may_begin().await;
             let item_route = self.find_route(&self.submission.host, &item.path);
             if item_route.is_some_and(|route| self.is_past_retention(&route)) {
                 return Err(ItemOutcome::PastRetention);
