--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -10,6 +10,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -29,6 +30,10 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// Time between two attempts to listen on a port again.
+const REBIND_INTERVAL: Duration = Duration::from_millis(10);
 
 /// One chunk of a streamed response; an error resets the connection.
 pub(crate) type Chunk = Result<Bytes, io::Error>;
@@ -48,6 +53,9 @@
     Hang,
     /// No response; the connection is closed.
     Reset,
+    /// No response; the server ends with all of its connections, and starts again
+    /// on the same port after this time.
+    Crash(Duration),
 }
 
 /// Handles the requests of one server.
@@ -113,19 +121,31 @@
 }
 
 async fn accept(
-    listener: TcpListener,
+    mut listener: TcpListener,
     handler: Arc<dyn Handler>,
     connection_count: Arc<AtomicU64>,
 ) {
     let mut connections = JoinSet::new();
+    let addr = listener.local_addr();
+    let (crashes_tx, mut crashes_rx) = mpsc::channel(1);
     loop {
         tokio::select! {
+            Some(restart_time) = crashes_rx.recv() => {
+                drop(listener);
+                connections.shutdown().await;
+                sleep(restart_time).await;
+                listener = rebind(&addr).await;
+                while crashes_rx.try_recv().is_ok() {}
+            }
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
                 connection_count.fetch_add(1, Ordering::Relaxed);
                 let _ = stream.set_nodelay(true);
                 let handler = Arc::clone(&handler);
-                let service = service_fn(move |request| respond(Arc::clone(&handler), request));
+                let crashes = crashes_tx.clone();
+                let service = service_fn(move |request| {
+                    respond(Arc::clone(&handler), crashes.clone(), request)
+                });
                 let connection = hyper::server::conn::http1::Builder::new()
                     .serve_connection(TokioIo::new(stream), service);
                 connections.spawn(async move {
@@ -137,10 +157,23 @@
     }
 }
 
+/// Listens on a port again; another process may have it for a moment.
+async fn rebind(addr: &io::Result<SocketAddr>) -> TcpListener {
+    loop {
+        if let Ok(addr) = addr
+            && let Ok(listener) = TcpListener::bind(addr).await
+        {
+            return listener;
+        }
+        sleep(REBIND_INTERVAL).await;
+    }
+}
+
 type Body = UnsyncBoxBody<Bytes, io::Error>;
 
 async fn respond(
     handler: Arc<dyn Handler>,
+    crashes: mpsc::Sender<Duration>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, io::Error> {
     let (head, body) = request.into_parts();
@@ -158,6 +191,10 @@
         Reply::StreamWith(headers, rx) => response(200, &headers, stream_body(rx)),
         Reply::Hang => std::future::pending().await,
         Reply::Reset => Err(io::ErrorKind::ConnectionReset.into()),
+        Reply::Crash(restart_time) => {
+            let _ = crashes.send(restart_time).await;
+            Err(io::ErrorKind::ConnectionReset.into())
+        }
     }
 }
 
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -59,9 +59,11 @@
     pub reset_after_events: Option<u64>,
     /// Ids of requests that always fail.
     pub failing_ids: BTreeSet<String>,
-    /// Bodies of requests under which it crashes: it runs the request, closes the
-    /// connection without a response, and starts again after a moment.
+    /// Bodies of requests under which it crashes: it runs the request, ends with all
+    /// of its connections, and starts again after a moment.
     pub crashing_bodies: BTreeSet<String>,
+    /// It runs each request and closes the connection without a response.
+    pub resets: bool,
     /// Orders get no response and are executed after this delay.
     pub order_delay: Option<Duration>,
     /// No call gets a response.
@@ -234,6 +236,12 @@
         })
     }
 
+    /// Returns whether it has crashed and not started again yet.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        lock(&self.shared.state).is_down()
+    }
+
     /// Sets the faults to inject from now on.
     pub fn set_faults(&self, faults: TargetFaults) {
         lock(&self.shared.state).faults = faults;
@@ -400,15 +408,19 @@
             last_event_id,
         });
         if faults.crashing_bodies.iter().any(|body| body.as_bytes() == request.body()) {
+            self.sleep_delay().await;
             lock(&self.state).crash();
             self.heartbeat_count.store(0, Ordering::Relaxed);
-            return Reply::Reset;
+            return Reply::Crash(RESTART_TIME);
         }
         let echoed = if faults.response == ResponseFault::WrongId {
             "another".to_owned()
         } else {
             id.clone()
         };
+        if faults.resets {
+            return Reply::Reset;
+        }
         let mut headers = vec![
             ("attempt-id", echoed.clone()),
             ("response-stamp", format!("stamp-{echoed}")),
