Keep a request that crashed a target from the last target of its service

Three crashes, after which it is refused, are all targets of the service.

Ruled out: that the other hosts learn too late. They knew of the first crash by then, but a request was refused only after three.

Change: after a crash under a caller's request, for 10 s, hosts send it to a target only if the service keeps another one that can be used; they know the crashes through the store as before. While one target has it, no second gets it. Without a crash, a second target still gets a slow request, a third only beside a spare one. A crashed target that accepts connections counts as spare: its connection broke, or it is back. A request that ends without an answer after a crash is answered 0.1 s later, when the other hosts know.

--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -4,7 +4,8 @@
 //! Each attempt of a caller has its own id, so a request that comes again is
 //! recognised by a digest of what it asks for. Each host reports the targets that
 //! broke off while they ran a request. All hosts read these reports: after a few
-//! crashes they refuse the request, unless a target has run it to its end.
+//! crashes they refuse the request, unless a target has run it to its end. Before
+//! that, they don't send it to the last target that its service has.
 //!
 //! The crate does no I/O.
 //!
@@ -25,12 +26,17 @@
 //! ```
 
 mod digest;
+mod exposure;
 mod record;
 mod table;
 
 pub use crate::digest::RequestDigest;
 pub use crate::digest::request_digest;
+pub use crate::exposure::Exposure;
+pub use crate::exposure::SendDecision;
 pub use crate::record::QuarantineRecord;
 pub use crate::record::RecordError;
+pub use crate::table::CrashedTarget;
 pub use crate::table::QUARANTINE;
 pub use crate::table::QuarantineTable;
+pub use crate::table::SUSPICION;
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -16,11 +16,17 @@
 const MAX_CRASHES: usize = 3;
 /// How long a request is not sent after the last crash under it.
 pub const QUARANTINE: Duration = Duration::from_mins(5);
+/// How long after the last crash under a request its service must keep a target
+/// that it is not sent to. By then the crashed ones are back or replaced.
+pub const SUSPICION: Duration = Duration::from_secs(10);
 /// Maximum number of requests that are remembered because of a crash.
 const MAX_SUSPECTS: usize = 4_096;
 /// Maximum number of requests that are remembered because of a success.
 const MAX_SUCCEEDED: usize = 2_048;
 
+/// A target that crashed, and its incarnation.
+pub type CrashedTarget = (TargetId, u64);
+
 /// The requests under which targets crashed, as reported by all hosts.
 ///
 /// A request that a target ran to its end before is never held back by this
@@ -34,7 +40,7 @@
 #[derive(Debug)]
 struct Suspect {
     /// The incarnations of targets that crashed; no more than `MAX_CRASHES`.
-    crashed: Vec<(TargetId, u64)>,
+    crashed: Vec<CrashedTarget>,
     last_crash: Instant,
 }
 
@@ -86,6 +92,21 @@
         })
     }
 
+    /// Returns the targets that crashed under a request lately; none if it is not
+    /// suspected of being the cause.
+    #[must_use]
+    pub fn suspected_crashes(&self, digest: RequestDigest, now: Instant) -> &[CrashedTarget] {
+        match self.suspects.get(&digest) {
+            Some(suspect)
+                if now < suspect.last_crash + SUSPICION
+                    && !self.succeeded.set.contains(&digest) =>
+            {
+                &suspect.crashed
+            }
+            _ => &[],
+        }
+    }
+
     /// Number of targets that crashed under a request, as far as they count.
     #[must_use]
     pub fn crash_count(&self, digest: RequestDigest) -> usize {
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -9,6 +9,7 @@
 use cassia_quarantine::QuarantineRecord;
 use cassia_quarantine::QuarantineTable;
 use cassia_quarantine::RequestDigest;
+use cassia_quarantine::SUSPICION;
 use cassia_quarantine::request_digest;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -47,6 +48,35 @@
     assert!(!table.is_quarantined(BAD + 1, now));
 }
 
+#[rstest]
+#[case::at_once(Duration::ZERO, true)]
+#[case::just_before_the_end(SUSPICION.saturating_sub(Duration::from_millis(1)), true)]
+#[case::at_the_end(SUSPICION, false)]
+fn a_request_is_suspected_for_a_while_after_a_crash(#[case] after: Duration, #[case] is: bool) {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    table.apply(&crash(BAD, "t1", 7), now);
+    let expected = if is { vec![("t1".into(), 7)] } else { Vec::new() };
+    assert_eq!(table.suspected_crashes(BAD, now + after), expected);
+    assert!(table.suspected_crashes(BAD + 1, now + after).is_empty());
+}
+
+#[rstest]
+#[case::succeeded_before(true)]
+#[case::succeeded_after(false)]
+fn a_request_that_succeeded_is_not_suspected(#[case] before: bool) {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    if before {
+        table.record_success(BAD);
+    }
+    table.apply(&crash(BAD, "t1", 1), now);
+    if !before {
+        table.record_success(BAD);
+    }
+    assert!(table.suspected_crashes(BAD, now).is_empty());
+}
+
 #[test]
 fn a_request_is_tried_again_after_the_quarantine() {
     let now = Instant::now();
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -218,6 +218,20 @@
         self.by_kind.get(kind).map_or(&[], Vec::as_slice)
     }
 
+    /// Number of targets of one kind that are open and not avoided, without those
+    /// that `is_excluded` names.
+    #[must_use]
+    pub fn usable_count(
+        &self,
+        kind: &TargetKind,
+        is_excluded: impl Fn(&Target) -> bool,
+        now: Instant,
+    ) -> usize {
+        let now_ms = self.millis(now);
+        let is_usable = |t: &&Arc<Target>| t.is_open() && !t.is_avoided(now_ms) && !is_excluded(t);
+        self.of_kind(kind).iter().filter(is_usable).count()
+    }
+
     /// Number of slots of the open targets of one kind.
     #[must_use]
     pub fn open_slots(&self, kind: &TargetKind) -> u32 {
--- a/crates/serve/src/attempts.rs
+++ b/crates/serve/src/attempts.rs
@@ -14,7 +14,8 @@
 pub(crate) struct Attempts {
     pub(crate) sent: u32,
     pub(crate) refusals: u32,
-    may_have_run: bool,
+    /// Whether a target may have run it, as far as is known.
+    pub(crate) may_have_run: bool,
     pub(crate) start_another: bool,
     pub(crate) last_refused: bool,
     /// Why no target was found, if not for want of one.
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -14,12 +14,15 @@
 use cassia_clients::PlatformError;
 use cassia_ids::RequestId;
 use cassia_ids::TargetId;
+use cassia_quarantine::CrashedTarget;
 use cassia_quarantine::RequestDigest;
+use cassia_quarantine::SendDecision;
 use cassia_quarantine::request_digest;
 use cassia_route::Choice;
 use cassia_route::InFlight;
 use cassia_route::Route;
 use cassia_route::RouteKind;
+use cassia_route::Target;
 use cassia_route::TargetKind;
 use cassia_route::TargetQuery;
 use futures::StreamExt;
@@ -37,6 +40,8 @@
 use crate::app::App;
 use crate::attempts::Attempts;
 use crate::attempts::is_target_failure;
+use crate::exposure;
+use crate::exposure::Unanswered;
 use crate::response::Body;
 use crate::response::Refusal;
 use crate::response::full_body;
@@ -187,11 +192,14 @@
         loop {
             if running.is_empty() || attempts.start_another {
                 attempts.start_another = false;
-                if let Some(in_flight) = self.next_target(&mut attempts) {
+                if let Some(in_flight) = self.next_target(&mut attempts, running.len()).await {
                     running.push(self.send(in_flight));
                 }
             }
             if running.is_empty() {
+                if !self.suspected_crashes().is_empty() && attempts.may_have_run {
+                    exposure::await_report(self.deadline).await;
+                }
                 return attempts.into_outcome();
             }
             let hedge_at = Instant::now() + self.hedge_delay();
@@ -217,7 +225,7 @@
     /// previous one certainly did not run it.
     async fn run_at_most_once(&self) -> CallOutcome {
         let mut attempts = Attempts::default();
-        while let Some(in_flight) = self.next_target(&mut attempts) {
+        while let Some(in_flight) = self.next_target(&mut attempts, 0).await {
             let outcome = tokio::time::timeout_at(self.deadline.into(), self.send(in_flight)).await;
             match outcome {
                 Ok(AttemptOutcome::Response(resp)) => return CallOutcome::Response(resp),
@@ -239,9 +247,36 @@
         slo * HEDGE_DELAY_PERCENT / 100
     }
 
+    /// Returns the targets that crashed under the request lately.
+    fn suspected_crashes(&self) -> Vec<CrashedTarget> {
+        self.digest.map_or_else(Vec::new, |digest| self.app.quarantine.suspected_crashes(digest))
+    }
+
     /// Chooses the next target and starts a request at it; `None` if no attempt
-    /// or no open target is left.
-    fn next_target(&self, attempts: &mut Attempts) -> Option<InFlight> {
+    /// or no open target is left, or if the targets that have the request must
+    /// answer first.
+    async fn next_target(&self, attempts: &mut Attempts, unanswered: usize) -> Option<InFlight> {
+        let target = self.choose_target(attempts)?;
+        if let Some(digest) = self.digest {
+            let unanswered = Unanswered { count: unanswered, among: &attempts.tried };
+            match exposure::decide(self.app, digest, &target, unanswered).await {
+                SendDecision::Send => {}
+                SendDecision::AwaitAnswer => return None,
+                SendDecision::KeepTarget => {
+                    attempts.no_target = Some(Refusal::LastTarget);
+                    return None;
+                }
+            }
+        }
+        let targets = self.app.state.targets.load();
+        let in_flight = targets.start_request(&target, Instant::now())?;
+        log_attempt(self.app, self.id, &in_flight, attempts.sent + 1);
+        attempts.tried.push(target.info.id.clone());
+        attempts.sent += 1;
+        Some(in_flight)
+    }
+
+    fn choose_target(&self, attempts: &mut Attempts) -> Option<Arc<Target>> {
         if attempts.sent >= self.route.max_attempts || attempts.refusals > MAX_REFUSALS {
             return None;
         }
@@ -251,28 +286,22 @@
         }
         let kind = TargetKind::Service { name: self.service.clone() };
         let targets = self.app.state.targets.load();
+        let mut tried = attempts.tried.clone();
+        tried.extend(self.suspected_crashes().into_iter().map(|(id, _)| id));
         let mut query = TargetQuery::new(&kind);
-        query.tried = &attempts.tried;
+        query.tried = &tried;
         query.preferred_data_centre = Some(&self.app.state.data_centre);
         targets.record_demand(&kind);
-        let now = Instant::now();
-        let target = match targets.choose(&query, &mut rand::rng(), now) {
-            Choice::Target(target) => target,
+        match targets.choose(&query, &mut rand::rng(), Instant::now()) {
+            // A target that this request could not reach is not tried again.
+            Choice::Target(target) if attempts.unreachable.contains(&target.info.id) => None,
+            Choice::Target(target) => Some(target),
             Choice::RateLimited => {
                 attempts.no_target = Some(Refusal::RateLimited);
-                return None;
+                None
             }
-            Choice::NoneOpen => return None,
-        };
-        // A target that this request could not reach is not tried again.
-        if attempts.unreachable.contains(&target.info.id) {
-            return None;
+            Choice::NoneOpen => None,
         }
-        let in_flight = targets.start_request(&target, now)?;
-        log_attempt(self.app, self.id, &in_flight, attempts.sent + 1);
-        attempts.tried.push(target.info.id.clone());
-        attempts.sent += 1;
-        Some(in_flight)
     }
 
     /// Sends the request to one target and reads its complete response.
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -6,6 +6,7 @@
 mod call;
 mod clock;
 mod config;
+mod exposure;
 mod flags;
 mod generate;
 mod ingress;
--- a/crates/serve/src/quarantine.rs
+++ b/crates/serve/src/quarantine.rs
@@ -11,6 +11,7 @@
 use cassia_clients::StoreErrorKind;
 use cassia_ids::Offset;
 use cassia_node::ReadBackoff;
+use cassia_quarantine::CrashedTarget;
 use cassia_quarantine::QuarantineRecord;
 use cassia_quarantine::QuarantineTable;
 use cassia_quarantine::RequestDigest;
@@ -57,6 +58,11 @@
         lock(&self.table).is_quarantined(digest, Instant::now())
     }
 
+    /// Returns the targets that crashed under the request lately.
+    pub(crate) fn suspected_crashes(&self, digest: RequestDigest) -> Vec<CrashedTarget> {
+        lock(&self.table).suspected_crashes(digest, Instant::now()).to_vec()
+    }
+
     /// Records that a target broke off while it ran the request.
     pub(crate) fn record_crash(&self, digest: RequestDigest, target: &Target) {
         let (target, incarnation) = (target.info.id.clone(), target.info.incarnation);
--- a/crates/serve/src/response.rs
+++ b/crates/serve/src/response.rs
@@ -33,6 +33,9 @@
     NoTarget,
     /// Targets have crashed under the request before; it did not run.
     Quarantined,
+    /// A target has crashed under the request, and the last one of its service is
+    /// kept from it; it did not run.
+    LastTarget,
     /// This host has used its share of the rate that the targets accept; the
     /// request did not run.
     RateLimited,
@@ -48,8 +51,8 @@
 
 /// `retry-after` while targets or memory are missing, in seconds.
 const SHORT_RETRY_AFTER: &str = "0.25";
-/// `retry-after` while the configuration, the store or a share of a limited rate
-/// is missing, in seconds.
+/// `retry-after` while the configuration, the store, a share of a limited rate or
+/// targets that crashed are missing, in seconds.
 const LONG_RETRY_AFTER: &str = "1";
 /// `retry-after` of a request that crashes targets, in seconds: when it may be
 /// tried again.
@@ -62,6 +65,7 @@
             | Self::NoTarget
             | Self::NotConfigured
             | Self::Quarantined
+            | Self::LastTarget
             | Self::RateLimited
             | Self::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
@@ -84,6 +88,7 @@
             Self::NoMemory => "no_room",
             Self::NoTarget => "no_target",
             Self::Quarantined => "quarantined",
+            Self::LastTarget => "last_target",
             Self::RateLimited => "rate_limited",
             Self::StoreUnavailable => "store_away",
             Self::OutcomeUnknown => "target_failed",
@@ -102,7 +107,7 @@
 
     fn retry_after(self) -> Option<&'static str> {
         match self {
-            Self::NotConfigured | Self::RateLimited | Self::StoreUnavailable => {
+            Self::LastTarget | Self::NotConfigured | Self::RateLimited | Self::StoreUnavailable => {
                 Some(LONG_RETRY_AFTER)
             }
             Self::Quarantined => Some(QUARANTINE_RETRY_AFTER),
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -14,6 +14,7 @@
 use cassia_jobs::EventError;
 use cassia_jobs::EventParser;
 use cassia_quarantine::RequestDigest;
+use cassia_quarantine::SendDecision;
 use cassia_route::Choice;
 use cassia_route::InFlight;
 use cassia_route::Route;
@@ -29,6 +30,8 @@
 use crate::call::OutgoingRequest;
 use crate::call::is_answer_to;
 use crate::call::record_load;
+use crate::exposure;
+use crate::exposure::Unanswered;
 use crate::response::Body;
 use crate::response::Refusal;
 
@@ -70,7 +73,12 @@
             }
             Choice::NoneOpen => break,
         };
-        let Some(in_flight) = targets.start_request(&target, now) else { continue };
+        if exposure::decide(app, digest, &target, Unanswered::default()).await != SendDecision::Send
+        {
+            refusal = Refusal::LastTarget;
+            break;
+        }
+        let Some(in_flight) = targets.start_request(&target, Instant::now()) else { continue };
         tried.push(in_flight.target().info.id.clone());
         let caller_timeout = caller_deadline.saturating_duration_since(Instant::now());
         let info = &in_flight.target().info;
@@ -107,6 +115,7 @@
                     app.quarantine.record_crash(digest, in_flight.target());
                 }
                 log::info!(event = "attempt_failed", step = e.step, id = head.id.as_str(), peer = info.id.as_str(); "{e}");
+                exposure::await_report(deadline).await;
                 return Refusal::OutcomeUnknown.response("stream");
             }
         }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -193,7 +193,8 @@
         Reply::Reset => Err(io::ErrorKind::ConnectionReset.into()),
         Reply::Crash(restart_time) => {
             let _ = crashes.send(restart_time).await;
-            Err(io::ErrorKind::ConnectionReset.into())
+            // The connection ends with the others.
+            std::future::pending().await
         }
     }
 }
