--- a/crates/route/tests/slots.rs
+++ b/crates/route/tests/slots.rs
@@ -7,6 +7,7 @@
 use cassia_route::Choice;
 use cassia_route::InFlight;
 use cassia_route::SlotPreference;
+use cassia_route::Target;
 use cassia_route::TargetInfo;
 use cassia_route::TargetKind;
 use cassia_route::TargetQuery;
@@ -230,3 +231,17 @@
     let _in_flight: Vec<_> = (0..SLOTS).filter_map(|_| target.start_request()).collect();
     assert_ne!(choose(None).info.id, "e1", "the others have free slots");
 }
+
+/// Pattern: a caller's request may crash its target, so another one must stay.
+#[test]
+fn targets_that_are_avoided_closed_or_excluded_are_not_usable() {
+    let now = Instant::now();
+    let set = set(now, 5);
+    let [failed, closed, ..] = set.of_kind(&kind()) else { panic!("five targets") };
+    set.record_failure(failed, now);
+    closed.close();
+    let is_excluded = |target: &Target| target.info.id == "e4";
+    assert_eq!(set.usable_count(&kind(), is_excluded, now), 2);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(set.usable_count(&kind(), is_excluded, later), 3, "the backoff is over");
+}
