Suspect a request that crashed a target as long as it would be in quarantine

Change: the targets that crashed under a request count for five minutes, as for the quarantine. Where a service has one target only, it is kept for the 10 s in which others may be restarting.

--- a/crates/quarantine/src/exposure.rs
+++ b/crates/quarantine/src/exposure.rs
@@ -3,12 +3,15 @@
 /// What sending a request to one more target puts at risk.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Exposure {
-    /// Number of targets that crashed under the request lately.
+    /// Number of targets that crashed under the request.
     pub crashed: usize,
     /// Number of targets that have the request and have not answered.
     pub unanswered: usize,
     /// Number of other targets of the service that can be used.
     pub spare: usize,
+    /// Whether the service has other targets at all, if only some that can't be
+    /// used, or just had some.
+    pub has_others: bool,
 }
 
 /// Whether a request is sent to one more target.
@@ -33,7 +36,7 @@
             Self { crashed: 1.., unanswered: 1.., .. } | Self { unanswered: 2.., spare: 0, .. } => {
                 SendDecision::AwaitAnswer
             }
-            Self { crashed: 1.., spare: 0, .. } => SendDecision::KeepTarget,
+            Self { crashed: 1.., spare: 0, has_others: true, .. } => SendDecision::KeepTarget,
             _ => SendDecision::Send,
         }
     }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -39,4 +39,4 @@
 pub use crate::table::CrashedTarget;
 pub use crate::table::QUARANTINE;
 pub use crate::table::QuarantineTable;
-pub use crate::table::SUSPICION;
+pub use crate::table::RESTART_TIME;
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -16,9 +16,8 @@
 const MAX_CRASHES: usize = 3;
 /// How long a request is not sent after the last crash under it.
 pub const QUARANTINE: Duration = Duration::from_mins(5);
-/// How long after the last crash under a request its service must keep a target
-/// that it is not sent to. By then the crashed ones are back or replaced.
-pub const SUSPICION: Duration = Duration::from_secs(10);
+/// Within this time after a crash, a target is back or replaced.
+pub const RESTART_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of requests that are remembered because of a crash.
 const MAX_SUSPECTS: usize = 4_096;
 /// Maximum number of requests that are remembered because of a success.
@@ -84,27 +83,33 @@
     /// Returns whether the request must not be sent.
     #[must_use]
     pub fn is_quarantined(&self, digest: RequestDigest, now: Instant) -> bool {
-        let suspect = self.suspects.get(&digest);
-        suspect.is_some_and(|suspect| {
-            suspect.crashed.len() >= MAX_CRASHES
-                && now < suspect.last_crash + QUARANTINE
-                && !self.succeeded.set.contains(&digest)
-        })
+        self.suspected_crashes(digest, now).len() >= MAX_CRASHES
     }
 
-    /// Returns the targets that crashed under a request lately; none if it is not
-    /// suspected of being the cause.
+    /// Returns the targets that crashed under a request; none if it is not
+    /// suspected of being the cause, or the quarantine would be over.
     #[must_use]
     pub fn suspected_crashes(&self, digest: RequestDigest, now: Instant) -> &[CrashedTarget] {
-        match self.suspects.get(&digest) {
-            Some(suspect)
-                if now < suspect.last_crash + SUSPICION
-                    && !self.succeeded.set.contains(&digest) =>
-            {
-                &suspect.crashed
-            }
-            _ => &[],
-        }
+        self.suspect_since(digest, QUARANTINE, now).map_or(&[], |suspect| &suspect.crashed)
+    }
+
+    /// Returns whether the targets that crashed under a request may still be
+    /// restarting.
+    #[must_use]
+    pub fn crashed_just_now(&self, digest: RequestDigest, now: Instant) -> bool {
+        self.suspect_since(digest, RESTART_TIME, now).is_some()
+    }
+
+    /// Returns the suspect if its last crash is less than `span` ago.
+    fn suspect_since(
+        &self,
+        digest: RequestDigest,
+        span: Duration,
+        now: Instant,
+    ) -> Option<&Suspect> {
+        let suspect = self.suspects.get(&digest)?;
+        let is_recent = now < suspect.last_crash + span;
+        (is_recent && !self.succeeded.set.contains(&digest)).then_some(suspect)
     }
 
     /// Number of targets that crashed under a request, as far as they count.
--- a/crates/quarantine/tests/exposure.rs
+++ b/crates/quarantine/tests/exposure.rs
@@ -23,7 +23,16 @@
     #[case] spare: usize,
     #[case] expected: SendDecision,
 ) {
-    assert_eq!(Exposure { crashed, unanswered, spare }.decide(), expected);
+    let exposure = Exposure { crashed, unanswered, spare, has_others: true };
+    assert_eq!(exposure.decide(), expected);
+}
+
+/// Guards against requests that are refused although the only target of their
+/// service is back: there is none to keep for others.
+#[test]
+fn the_only_target_of_a_service_is_not_kept() {
+    let exposure = Exposure { crashed: 1, unanswered: 0, spare: 0, has_others: false };
+    assert_eq!(exposure.decide(), SendDecision::Send);
 }
 
 proptest! {
@@ -42,7 +51,8 @@
                 continue;
             }
             let free = copies - crashed - unanswered;
-            let exposure = Exposure { crashed, unanswered, spare: free.saturating_sub(1) };
+            let spare = free.saturating_sub(1);
+            let exposure = Exposure { crashed, unanswered, spare, has_others: true };
             if free > 0 && exposure.decide() == SendDecision::Send {
                 unanswered += 1;
             }
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -8,13 +8,14 @@
 use cassia_quarantine::QUARANTINE;
 use cassia_quarantine::QuarantineRecord;
 use cassia_quarantine::QuarantineTable;
+use cassia_quarantine::RESTART_TIME;
 use cassia_quarantine::RequestDigest;
-use cassia_quarantine::SUSPICION;
 use cassia_quarantine::request_digest;
 use proptest::prelude::*;
 use rstest::rstest;
 
 const BAD: RequestDigest = 1;
+const MILLISECOND: Duration = Duration::from_millis(1);
 
 fn crash(digest: RequestDigest, target: &str, incarnation: u64) -> QuarantineRecord {
     QuarantineRecord::Crash { digest, target: target.into(), incarnation }
@@ -49,15 +50,22 @@
 }
 
 #[rstest]
-#[case::at_once(Duration::ZERO, true)]
-#[case::just_before_the_end(SUSPICION.saturating_sub(Duration::from_millis(1)), true)]
-#[case::at_the_end(SUSPICION, false)]
-fn a_request_is_suspected_for_a_while_after_a_crash(#[case] after: Duration, #[case] is: bool) {
+#[case::at_once(Duration::ZERO, true, true)]
+#[case::before_the_restart(RESTART_TIME.saturating_sub(MILLISECOND), true, true)]
+#[case::after_the_restart(RESTART_TIME, true, false)]
+#[case::before_the_end(QUARANTINE.saturating_sub(MILLISECOND), true, false)]
+#[case::at_the_end(QUARANTINE, false, false)]
+fn a_request_is_suspected_for_a_while_after_a_crash(
+    #[case] after: Duration,
+    #[case] is_suspected: bool,
+    #[case] crashed_just_now: bool,
+) {
     let now = Instant::now();
     let mut table = QuarantineTable::default();
     table.apply(&crash(BAD, "t1", 7), now);
-    let expected = if is { vec![("t1".into(), 7)] } else { Vec::new() };
+    let expected = if is_suspected { vec![("t1".into(), 7)] } else { Vec::new() };
     assert_eq!(table.suspected_crashes(BAD, now + after), expected);
+    assert_eq!(table.crashed_just_now(BAD, now + after), crashed_just_now);
     assert!(table.suspected_crashes(BAD + 1, now + after).is_empty());
 }
 
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -247,7 +247,7 @@
         slo * HEDGE_DELAY_PERCENT / 100
     }
 
-    /// Returns the targets that crashed under the request lately.
+    /// Returns the targets that crashed under the request.
     fn suspected_crashes(&self) -> Vec<CrashedTarget> {
         self.digest.map_or_else(Vec::new, |digest| self.app.quarantine.suspected_crashes(digest))
     }
--- a/crates/serve/src/exposure.rs
+++ b/crates/serve/src/exposure.rs
@@ -54,7 +54,13 @@
             || unanswered.count > 0 && unanswered.among.contains(&t.info.id)
     };
     let spare = targets.usable_count(&target.info.kind, is_exposed, Instant::now());
-    let exposure = Exposure { crashed: crashed.len(), unanswered: unanswered.count, spare };
+    let is_listed_alone = targets.of_kind(&target.info.kind).len() == 1;
+    let exposure = Exposure {
+        crashed: crashed.len(),
+        unanswered: unanswered.count,
+        spare,
+        has_others: !is_listed_alone || app.quarantine.crashed_just_now(digest),
+    };
     let decision = exposure.decide();
     if decision != SendDecision::KeepTarget {
         return decision;
--- a/crates/serve/src/quarantine.rs
+++ b/crates/serve/src/quarantine.rs
@@ -58,11 +58,16 @@
         lock(&self.table).is_quarantined(digest, Instant::now())
     }
 
-    /// Returns the targets that crashed under the request lately.
+    /// Returns the targets that crashed under the request.
     pub(crate) fn suspected_crashes(&self, digest: RequestDigest) -> Vec<CrashedTarget> {
         lock(&self.table).suspected_crashes(digest, Instant::now()).to_vec()
     }
 
+    /// Returns whether these targets may still be restarting.
+    pub(crate) fn crashed_just_now(&self, digest: RequestDigest) -> bool {
+        lock(&self.table).crashed_just_now(digest, Instant::now())
+    }
+
     /// Records that a target broke off while it ran the request.
     pub(crate) fn record_crash(&self, digest: RequestDigest, target: &Target) {
         let (target, incarnation) = (target.info.id.clone(), target.info.incarnation);
