--- a/crates/trials/tests/platform_crash_containment.rs
+++ b/crates/trials/tests/platform_crash_containment.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cassia_standin::StoreFaults;
 use cassia_standin::TargetFaults;
 use cassia_standin::TargetStandin;
 use cassia_trials::PlatformEnv;
@@ -28,6 +29,8 @@
 const PAUSE: Duration = Duration::from_millis(10);
 /// Time until the caller of `BAD` comes again: less than a report of a crash takes.
 const RETRY_PAUSE: Duration = Duration::from_millis(1);
+/// How long an append takes to be stored by a slow store.
+const SLOW_APPEND_TIME: Duration = Duration::from_millis(60);
 /// How often the targets are looked at.
 const LOOK_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -95,13 +98,20 @@
 /// Guards against a request that crashes one target after the other until its
 /// service has none, so that all other callers are refused.
 #[rstest]
-#[case::three_copies(3)]
-#[case::two_copies(2)]
+#[case::three_copies(3, Duration::ZERO)]
+#[case::two_copies(2, Duration::ZERO)]
+// The caller comes again before the other hosts could read the report.
+#[case::two_copies_and_slow_reports(2, SLOW_APPEND_TIME)]
 #[tokio::test]
 async fn a_request_that_crashes_targets_leaves_its_service_one(
     #[case] copies: usize,
+    #[case] append_delay: Duration,
 ) -> anyhow::Result<()> {
     let (env, processes) = start(copies).await?;
+    if !append_delay.is_zero() {
+        let delayed_appends = Some((u32::MAX, append_delay));
+        env.store.set_faults(StoreFaults { delayed_appends, ..StoreFaults::default() });
+    }
     let hosts = addrs(&processes);
     let all_down = watch(env.targets.clone());
     let callers = (0..CALLERS).map(|caller| send_others(&env, &hosts, caller));
