--- a/crates/trials/tests/platform_crash_containment.rs
+++ b/crates/trials/tests/platform_crash_containment.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cassia_standin::ResponseFault;
 use cassia_standin::StoreFaults;
 use cassia_standin::TargetFaults;
 use cassia_standin::TargetStandin;
@@ -151,7 +152,8 @@
 {
     let (env, processes) = start(2).await?;
     let hosts = addrs(&processes);
-    env.targets[0].set_faults(TargetFaults { resets: true, ..TargetFaults::default() });
+    let response = ResponseFault::Reset;
+    env.targets[0].set_faults(TargetFaults { response, ..TargetFaults::default() });
     env.targets[1].set_faults(TargetFaults::default());
     let callers = (0..CALLERS).map(|caller| send_others(&env, &hosts, caller));
     let failed: usize = join_all(callers).await.iter().map(|(_, failed)| failed).sum();
