--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -16,11 +16,16 @@
 const MAX_CRASHES: usize = 3;
 /// How long a request is not sent after the last crash under it.
 pub const QUARANTINE: Duration = Duration::from_mins(5);
+/// Within this time after a crash, a target is back or replaced.
+pub const RESTART_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of requests that are remembered because of a crash.
 const MAX_SUSPECTS: usize = 4_096;
 /// Maximum number of requests that are remembered because of a success.
 const MAX_SUCCEEDED: usize = 2_048;
 
+/// A target that crashed, and its incarnation.
+pub type CrashedTarget = (TargetId, u64);
+
 /// The requests under which targets crashed, as reported by all hosts.
 ///
 /// A request that a target ran to its end before is never held back by this
@@ -34,7 +39,7 @@
 #[derive(Debug)]
 struct Suspect {
     /// The incarnations of targets that crashed; no more than `MAX_CRASHES`.
-    crashed: Vec<(TargetId, u64)>,
+    crashed: Vec<CrashedTarget>,
     last_crash: Instant,
 }
 
@@ -78,12 +83,33 @@
     /// Returns whether the request must not be sent.
     #[must_use]
     pub fn is_quarantined(&self, digest: RequestDigest, now: Instant) -> bool {
-        let suspect = self.suspects.get(&digest);
-        suspect.is_some_and(|suspect| {
-            suspect.crashed.len() >= MAX_CRASHES
-                && now < suspect.last_crash + QUARANTINE
-                && !self.succeeded.set.contains(&digest)
-        })
+        self.suspected_crashes(digest, now).len() >= MAX_CRASHES
+    }
+
+    /// Returns the targets that crashed under a request; none if it is not
+    /// suspected of being the cause, or the quarantine would be over.
+    #[must_use]
+    pub fn suspected_crashes(&self, digest: RequestDigest, now: Instant) -> &[CrashedTarget] {
+        self.suspect_since(digest, QUARANTINE, now).map_or(&[], |suspect| &suspect.crashed)
+    }
+
+    /// Returns whether the targets that crashed under a request may still be
+    /// restarting.
+    #[must_use]
+    pub fn crashed_just_now(&self, digest: RequestDigest, now: Instant) -> bool {
+        self.suspect_since(digest, RESTART_TIME, now).is_some()
+    }
+
+    /// Returns the suspect if its last crash is less than `span` ago.
+    fn suspect_since(
+        &self,
+        digest: RequestDigest,
+        span: Duration,
+        now: Instant,
+    ) -> Option<&Suspect> {
+        let suspect = self.suspects.get(&digest)?;
+        let is_recent = now < suspect.last_crash + span;
+        (is_recent && !self.succeeded.set.contains(&digest)).then_some(suspect)
     }
 
     /// Number of targets that crashed under a request, as far as they count.
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -11,6 +11,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -30,6 +31,10 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// Time between two attempts to listen on a port again.
+const REBIND_INTERVAL: Duration = Duration::from_millis(10);
 
 /// One chunk of a streamed response; an error resets the connection.
 pub(crate) type Chunk = Result<Bytes, io::Error>;
@@ -49,6 +54,9 @@
     Hang,
     /// No response; the connection is closed.
     Reset,
+    /// No response; the server ends with all of its connections, and starts again
+    /// on the same port after this time.
+    Crash(Duration),
     /// A reply that is sent again in place of the next one on the connection.
     /// Those after it are then late by one. Streams are not sent again.
     Twice(Box<Reply>),
@@ -151,21 +159,31 @@
 }
 
 async fn accept(
-    listener: TcpListener,
+    mut listener: TcpListener,
     handler: Arc<dyn Handler>,
     connection_count: Arc<AtomicU64>,
 ) {
     let mut connections = JoinSet::new();
+    let addr = listener.local_addr();
+    let (crashes_tx, mut crashes_rx) = mpsc::channel(1);
     loop {
         tokio::select! {
+            Some(restart_time) = crashes_rx.recv() => {
+                drop(listener);
+                connections.shutdown().await;
+                sleep(restart_time).await;
+                listener = rebind(&addr).await;
+                while crashes_rx.try_recv().is_ok() {}
+            }
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
                 connection_count.fetch_add(1, Ordering::Relaxed);
                 let _ = stream.set_nodelay(true);
                 let handler = Arc::clone(&handler);
                 let pending = Arc::new(PendingReplies::default());
+                let crashes = crashes_tx.clone();
                 let service = service_fn(move |request| {
-                    respond(Arc::clone(&handler), Arc::clone(&pending), request)
+                    respond(Arc::clone(&handler), Arc::clone(&pending), crashes.clone(), request)
                 });
                 let connection = hyper::server::conn::http1::Builder::new()
                     .serve_connection(TokioIo::new(stream), service);
@@ -178,11 +196,24 @@
     }
 }
 
+/// Listens on a port again; another process may have it for a moment.
+async fn rebind(addr: &io::Result<SocketAddr>) -> TcpListener {
+    loop {
+        if let Ok(addr) = addr
+            && let Ok(listener) = TcpListener::bind(addr).await
+        {
+            return listener;
+        }
+        sleep(REBIND_INTERVAL).await;
+    }
+}
+
 type Body = UnsyncBoxBody<Bytes, io::Error>;
 
 async fn respond(
     handler: Arc<dyn Handler>,
     pending: Arc<PendingReplies>,
+    crashes: mpsc::Sender<Duration>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, io::Error> {
     let (head, body) = request.into_parts();
@@ -201,6 +232,11 @@
         Reply::StreamWith(headers, rx) => response(200, &headers, stream_body(rx)),
         Reply::Hang => std::future::pending().await,
         Reply::Reset | Reply::Twice(_) => Err(io::ErrorKind::ConnectionReset.into()),
+        Reply::Crash(restart_time) => {
+            let _ = crashes.send(restart_time).await;
+            // The connection ends with the others.
+            std::future::pending().await
+        }
     }
 }
 
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -197,6 +197,12 @@
         })
     }
 
+    /// Returns whether it has crashed and not started again yet.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        lock(&self.shared.state).is_down()
+    }
+
     /// Sets the faults to inject from now on.
     pub fn set_faults(&self, faults: TargetFaults) {
         lock(&self.shared.state).faults = faults;
@@ -373,15 +379,19 @@
             last_event_id,
         });
         if faults.crashing_bodies.iter().any(|body| body.as_bytes() == request.body()) {
+            self.sleep_delay().await;
             lock(&self.state).crash();
             self.heartbeat_count.store(0, Ordering::Relaxed);
-            return Reply::Reset;
+            return Reply::Crash(RESTART_TIME);
         }
         let echoed = if faults.response == ResponseFault::WrongId {
             "another".to_owned()
         } else {
             id.clone()
         };
+        if faults.response == ResponseFault::Reset {
+            return Reply::Reset;
+        }
         let mut headers = vec![
             ("attempt-id", echoed.clone()),
             ("response-stamp", format!("stamp-{echoed}")),
--- a/crates/standin/src/target_faults.rs
+++ b/crates/standin/src/target_faults.rs
@@ -17,6 +17,8 @@
     Busy,
     /// No response, after the request ran.
     Hang,
+    /// No response and a closed connection, after the request ran.
+    Reset,
     /// The id of another request, after the request ran.
     WrongId,
 }
@@ -53,8 +55,8 @@
     pub reset_after_events: Option<u64>,
     /// Ids of requests that always fail.
     pub failing_ids: BTreeSet<String>,
-    /// Bodies of requests under which it crashes: it runs the request, closes the
-    /// connection without a response, and starts again after a moment.
+    /// Bodies of requests under which it crashes: it runs the request, ends with all
+    /// of its connections, and starts again after a moment.
     pub crashing_bodies: BTreeSet<String>,
     /// Orders get no response and are executed after this delay.
     pub order_delay: Option<Duration>,
