Serve: a request under which a target crashed is answered once the crash is stored

Callers' view: the answer came 0.1 s after the request was given up, whatever the store did. A request that is given up gets its answer at once; only what its handling needs may come before. What it needs is that the crash is recorded, since its caller may send it to another host at once. So the host waits for the store's confirmation of the report, some milliseconds, and for 0.1 s at most without the store.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -199,7 +199,7 @@
             }
             if running.is_empty() {
                 if !self.suspected_crashes().is_empty() && attempts.may_have_run {
-                    exposure::await_report(self.deadline).await;
+                    exposure::await_report(self.app, self.deadline).await;
                 }
                 return attempts.into_outcome();
             }
--- a/crates/serve/src/exposure.rs
+++ b/crates/serve/src/exposure.rs
@@ -15,13 +15,13 @@
 use futures::future::join_all;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::app::App;
 
-/// Within this time, the other hosts have read the report of a crash.
-const REPORT_TIME: Duration = Duration::from_millis(100);
+/// How long the report of a crash may take to be stored.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Within this time after its first connection breaks, a process that ends has
 /// closed the socket that it listens on.
 const END_TIME: Duration = Duration::from_millis(10);
@@ -75,9 +75,11 @@
 }
 
 /// Waits, before a request is answered under which a target crashed, until the
-/// other hosts know of the crash: its caller may send it to one of them at once.
-pub(crate) async fn await_report(deadline: Instant) {
-    sleep_until(deadline.min(Instant::now() + REPORT_TIME).into()).await;
+/// store has the report: the caller may send it to another host at once. Without the
+/// store the other hosts can't know either, so the wait is short.
+pub(crate) async fn await_report(app: &App, deadline: Instant) {
+    let deadline = deadline.min(Instant::now() + REPORT_TIMEOUT);
+    let _ = timeout_at(deadline.into(), app.quarantine.wait_until_reported()).await;
 }
 
 fn is_target((id, incarnation): &CrashedTarget, target: &Target) -> bool {
--- a/crates/serve/src/quarantine.rs
+++ b/crates/serve/src/quarantine.rs
@@ -17,6 +17,7 @@
 use cassia_quarantine::RequestDigest;
 use cassia_route::Target;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::app::App;
@@ -48,8 +49,18 @@
 pub(crate) struct Quarantine {
     table: Mutex<QuarantineTable>,
     /// Reports of this host that are not in the log yet.
-    queue: Mutex<Vec<QuarantineRecord>>,
+    queue: Mutex<ReportQueue>,
     queued: Notify,
+    /// Number of reports that the store has confirmed.
+    confirmed: watch::Sender<u64>,
+}
+
+/// Reports that are not in the log yet.
+#[derive(Debug, Default)]
+struct ReportQueue {
+    waiting: Vec<QuarantineRecord>,
+    /// Number of reports that were ever queued.
+    count: u64,
 }
 
 impl Quarantine {
@@ -84,12 +95,21 @@
     fn report(&self, record: QuarantineRecord) {
         self.apply(&record);
         let mut queue = lock(&self.queue);
-        if queue.len() < MAX_QUEUED {
-            queue.push(record);
+        if queue.waiting.len() < MAX_QUEUED {
+            queue.waiting.push(record);
+            queue.count += 1;
             self.queued.notify_one();
         }
     }
 
+    /// Waits until the store has confirmed the reports that were queued.
+    pub(crate) async fn wait_until_reported(&self) {
+        let count = lock(&self.queue).count;
+        let mut confirmed = self.confirmed.subscribe();
+        // The sender lives as long as `self`.
+        let _ = confirmed.wait_for(|confirmed| *confirmed >= count).await;
+    }
+
     fn apply(&self, record: &QuarantineRecord) {
         let (QuarantineRecord::Crash { digest, .. } | QuarantineRecord::Cleared { digest }) =
             record;
@@ -152,7 +172,10 @@
     loop {
         app.quarantine.queued.notified().await;
         sleep(BATCH_DELAY).await;
-        let batch = std::mem::take(&mut *lock(&app.quarantine.queue));
+        let (batch, count) = {
+            let mut queue = lock(&app.quarantine.queue);
+            (std::mem::take(&mut queue.waiting), queue.count)
+        };
         let records: Vec<_> = batch.iter().map(QuarantineRecord::to_record).collect();
         if records.is_empty() {
             continue;
@@ -164,5 +187,6 @@
             log::info!(event = "append_failed", step = e.step; "{e}");
             sleep(RETRY_DELAY).await;
         }
+        app.quarantine.confirmed.send_replace(count);
     }
 }
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -118,7 +118,7 @@
                     app.quarantine.record_crash(digest, in_flight.target());
                 }
                 log::info!(event = "attempt_failed", step = e.step, id = head.id.as_str(), peer = info.id.as_str(); "{e}");
-                exposure::await_report(deadline).await;
+                exposure::await_report(app, deadline).await;
                 return Refusal::OutcomeUnknown.response("stream");
             }
         }
