Targets' software versions are decoded and logged

Targets' entries name the version of their software; nothing read it, so no line showed which version ran a request. It is now in a target's entry, in target_changed and in attempt, which streams log as well. An incarnation with another version is a target of its own. Stand-in targets have a settable version, and events of all but the first one name it. No change of behaviour otherwise.

--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -32,6 +32,9 @@
 pub type Offset = u64;
 /// Revision of a contract: the offset of its log record plus one.
 pub type Revision = u64;
+/// Version of a target's software. Versions have no order, and what two of them
+/// write doesn't fit together.
+pub type Software = SmolStr;
 /// Version of a model's weights; larger numbers are newer.
 pub type Version = u64;
 /// Random number that a process draws at its start, to identify that run.
--- a/crates/lab/src/capacity.rs
+++ b/crates/lab/src/capacity.rs
@@ -122,6 +122,7 @@
         id: format!("engine-{i}").into(),
         addr: SocketAddr::from(([10, 0, 0, 1], 80)),
         data_centre: format!("dc{}", i % 8).into(),
+        software: "v1".into(),
         kind: kind.clone(),
         incarnation: 1,
         leaving: false,
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -427,8 +427,8 @@
 }
 
 /// Key that identifies one incarnation of a target.
-fn incarnation_key(info: &TargetInfo) -> (&TargetKind, &str, u64) {
-    (&info.kind, info.id.as_str(), info.incarnation)
+fn incarnation_key(info: &TargetInfo) -> (&TargetKind, &str, u64, &str) {
+    (&info.kind, info.id.as_str(), info.incarnation, info.software.as_str())
 }
 
 fn millis(span: Duration) -> u64 {
--- a/crates/route/src/registry.rs
+++ b/crates/route/src/registry.rs
@@ -8,6 +8,7 @@
 
 use cassia_ids::DataCentre;
 use cassia_ids::ModelName;
+use cassia_ids::Software;
 use cassia_ids::TargetId;
 use cassia_ids::Version;
 use smol_str::SmolStr;
@@ -34,6 +35,8 @@
     pub addr: SocketAddr,
     /// Its data centre.
     pub data_centre: DataCentre,
+    /// Version of its software.
+    pub software: Software,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is shutting down.
@@ -176,6 +179,7 @@
             id: heartbeat.id.clone(),
             addr: heartbeat.addr,
             data_centre: heartbeat.data_centre.clone(),
+            software: heartbeat.software.clone(),
             kind: TargetKind::Service { name: heartbeat.service.clone() },
             incarnation: heartbeat.started_ms,
             leaving: heartbeat.leaving,
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -7,6 +7,7 @@
 
 use cassia_ids::DataCentre;
 use cassia_ids::ModelName;
+use cassia_ids::Software;
 use cassia_ids::TargetId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -37,6 +38,9 @@
     pub addr: SocketAddr,
     /// Its data centre.
     pub data_centre: DataCentre,
+    /// Version of its software; empty where only one serves.
+    #[serde(default)]
+    pub software: Software,
     /// What it provides.
     #[serde(flatten)]
     pub kind: TargetKind,
--- a/crates/route/tests/rate_limit.rs
+++ b/crates/route/tests/rate_limit.rs
@@ -23,6 +23,7 @@
         id: format!("t{n}").into(),
         addr: "10.0.0.1:80".parse().expect("an address"),
         data_centre: "z".into(),
+        software: "v1".into(),
         kind: kind(),
         incarnation: 1,
         leaving: false,
--- a/crates/route/tests/registry.rs
+++ b/crates/route/tests/registry.rs
@@ -17,6 +17,7 @@
         service: "s".into(),
         addr: "10.0.0.1:80".parse().expect("an address"),
         data_centre: "z".into(),
+        software: "v1".into(),
         slots: 4,
         leaving,
         started_ms,
--- a/crates/route/tests/scale.rs
+++ b/crates/route/tests/scale.rs
@@ -20,6 +20,7 @@
         service: "lm".into(),
         addr: ([10, 0, 0, 1], 80).into(),
         data_centre: "a".into(),
+        software: "v1".into(),
         slots: 6,
         leaving: false,
         started_ms: 1,
--- a/crates/route/tests/view.rs
+++ b/crates/route/tests/view.rs
@@ -31,6 +31,7 @@
         id: id.into(),
         addr: "10.0.0.1:80".parse().expect("an address"),
         data_centre: "dc1".into(),
+        software: "v1".into(),
         kind: kind(),
         incarnation,
         leaving,
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -365,7 +365,8 @@
     let (others, age) = app.state.targets.load().last_report(in_flight.target(), Instant::now());
     let (peer, own) = (in_flight.target().info.id.as_str(), in_flight.target().in_flight());
     let (age_ms, limit) = (millis(age), in_flight.target().rate_limit());
-    log::info!(event = "attempt", step = "choose", id, peer, attempt, own, others, age_ms, limit; "sent");
+    let software = in_flight.target().info.software.as_str();
+    log::info!(event = "attempt", step = "choose", id, peer, software, attempt, own, others, age_ms, limit; "sent");
 }
 
 /// A request that a target has not answered yet. If it is dropped after the
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -28,6 +28,7 @@
 use crate::app::App;
 use crate::call::OutgoingRequest;
 use crate::call::is_answer_to;
+use crate::call::log_attempt;
 use crate::call::record_load;
 use crate::response::Body;
 use crate::response::Refusal;
@@ -72,6 +73,7 @@
         };
         let Some(in_flight) = targets.start_request(&target, now) else { continue };
         tried.push(in_flight.target().info.id.clone());
+        log_attempt(app, &head.id, &in_flight, u32::try_from(tried.len()).unwrap_or(u32::MAX));
         let caller_timeout = caller_deadline.saturating_duration_since(Instant::now());
         let info = &in_flight.target().info;
         let request = target_request(
--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -148,12 +148,13 @@
         match decode_heartbeat(&record.key, value) {
             Ok(heartbeat) => {
                 let (id, leaving, seq) = (heartbeat.id.clone(), heartbeat.leaving, heartbeat.seq);
+                let software = heartbeat.software.clone();
                 let change = self.registry.apply(heartbeat);
                 match change {
                     Update::Unchanged => {}
                     Update::VersionsChanged => self.version_changes += 1,
                     Update::Changed => {
-                        log::info!(event = "target_changed", step = "targets", target = id.as_str(), leaving, seq; "target changed");
+                        log::info!(event = "target_changed", step = "targets", target = id.as_str(), software = software.as_str(), leaving, seq; "target changed");
                     }
                 }
                 change
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -29,6 +29,9 @@
 use crate::server::lock;
 
 const FIRST_EVENT_ID: u64 = 0;
+/// Version of the software of a target for which none was set. Events of others
+/// name theirs.
+const FIRST_SOFTWARE: &str = "v1";
 /// How long a target that crashed takes to start again.
 const RESTART_TIME: Duration = Duration::from_millis(400);
 /// Time from an accepted order until its version is active.
@@ -141,6 +144,8 @@
     /// Until when it is down after a crash.
     down_until: Option<Instant>,
     delay: Duration,
+    /// Version of its software, which its events name.
+    software: String,
     version: u64,
     pending_load: Option<(u64, Instant)>,
     /// Number of accepted orders.
@@ -177,6 +182,7 @@
             started_ms,
             down_until: None,
             delay: spec.delay,
+            software: FIRST_SOFTWARE.to_owned(),
             version: 1,
             pending_load: None,
             order_count: 0,
@@ -226,7 +232,7 @@
         let models: Vec<_> = self.shared.models(&state);
         json!({
             "service": self.shared.spec.service, "address": self.addr().to_string(),
-            "zone": "z1", "version": "v1", "slot_count": 8,
+            "zone": "z1", "version": state.software, "slot_count": 8,
             "state": if state.leaving { "draining" } else { "ready" },
             "cold_left_ms": 0, "stage": "hybrid", "models": models,
             "sequence": self.shared.heartbeat_count.fetch_add(1, Ordering::Relaxed),
@@ -244,6 +250,15 @@
         lock(&self.shared.state).delay = delay;
     }
 
+    /// Starts again at once, under the same id, with this version of its
+    /// software. Its streams break off.
+    pub fn restart_with_software(&self, software: &str) {
+        let mut state = lock(&self.shared.state);
+        state.started_ms += 1;
+        software.clone_into(&mut state.software);
+        self.shared.heartbeat_count.store(0, Ordering::Relaxed);
+    }
+
     /// Makes its heartbeats report it as draining from now on.
     pub fn set_leaving(&self) {
         lock(&self.shared.state).leaving = true;
@@ -288,6 +303,14 @@
 }
 
 impl State {
+    /// What its events end with.
+    fn software_suffix(&self) -> String {
+        if self.software == FIRST_SOFTWARE {
+            return String::new();
+        }
+        format!(" by {}", self.software)
+    }
+
     fn count_arrival(&mut self) -> u64 {
         self.arrivals += 1;
         self.arrivals
@@ -444,13 +467,21 @@
         reset_after_events: Option<u64>,
         tx: mpsc::Sender<io::Result<Bytes>>,
     ) {
+        let (incarnation, suffix) = {
+            let state = lock(&self.state);
+            (state.started_ms, state.software_suffix())
+        };
         for (sent, number) in (first..self.spec.events).enumerate() {
             if reset_after_events.is_some_and(|limit| sent as u64 >= limit) {
                 let _ = tx.send(Err(io::ErrorKind::ConnectionReset.into())).await;
                 return;
             }
             self.sleep_delay().await;
-            let event = format!("id: {number}\ndata: piece {number} of {}\n\n", run.id);
+            if lock(&self.state).started_ms != incarnation {
+                let _ = tx.send(Err(io::ErrorKind::ConnectionReset.into())).await;
+                return;
+            }
+            let event = format!("id: {number}\ndata: piece {number} of {}{suffix}\n\n", run.id);
             if tx.send(Ok(event.into())).await.is_err() {
                 return;
             }
--- a/crates/trials/src/platform_env.rs
+++ b/crates/trials/src/platform_env.rs
@@ -93,14 +93,25 @@
     ///
     /// Fails if no port can be bound.
     pub async fn add_engine(&mut self, id: &str, events: u64) -> io::Result<Arc<TargetStandin>> {
-        self.add_target(TargetSpec {
-            id: id.to_owned(),
-            service: "lm".to_owned(),
-            model: Some(ENGINE_MODEL.to_owned()),
-            events,
-            delay: Duration::from_millis(10),
-        })
-        .await
+        self.add_target(engine_spec(id, events)).await
+    }
+
+    /// Starts an engine with this version of its software. Its generations have
+    /// this many events, which name the version unless it is `v1`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn add_engine_with_software(
+        &mut self,
+        id: &str,
+        events: u64,
+        software: &str,
+    ) -> io::Result<Arc<TargetStandin>> {
+        let target = Arc::new(TargetStandin::start(engine_spec(id, events)).await?);
+        target.restart_with_software(software);
+        self.list_target(&target);
+        Ok(target)
     }
 
     /// Starts a target that sends heartbeats to the store.
@@ -110,15 +121,20 @@
     /// Fails if no port can be bound.
     pub async fn add_target(&mut self, spec: TargetSpec) -> io::Result<Arc<TargetStandin>> {
         let target = Arc::new(TargetStandin::start(spec).await?);
-        let (sender, store) = (Arc::clone(&target), Arc::clone(&self.store));
+        self.list_target(&target);
+        Ok(target)
+    }
+
+    /// Lists a target, which sends heartbeats from now on.
+    fn list_target(&mut self, target: &Arc<TargetStandin>) {
+        let (sender, store) = (Arc::clone(target), Arc::clone(&self.store));
         self.heartbeats.push(tokio::spawn(async move {
             loop {
                 sender.send_heartbeat(&store);
                 sleep(HEARTBEAT_INTERVAL).await;
             }
         }));
-        self.targets.push(Arc::clone(&target));
-        Ok(target)
+        self.targets.push(Arc::clone(target));
     }
 
     /// Starts a target that sends bytes without end; it is listed as long as
@@ -255,6 +271,16 @@
     }
 }
 
+fn engine_spec(id: &str, events: u64) -> TargetSpec {
+    TargetSpec {
+        id: id.to_owned(),
+        service: "lm".to_owned(),
+        model: Some(ENGINE_MODEL.to_owned()),
+        events,
+        delay: Duration::from_millis(10),
+    }
+}
+
 /// Returns a configuration of the platform; `with_extra` adds the route
 /// `extra`.
 #[must_use]
--- a/crates/trials/src/test_env.rs
+++ b/crates/trials/src/test_env.rs
@@ -306,6 +306,7 @@
         id: id.into(),
         addr,
         data_centre: DATA_CENTRE.into(),
+        software: "v1".into(),
         kind,
         incarnation: 1,
         leaving: false,
