Items go on only at the software version that began them

Seen: texts of items with events of two software versions of the engines.

Cause: a run that goes on, moves to a faster engine or takes over a stored text chose among all engines. Engines don't check what began the text.

Change: a text knows the software version of its first event, also in stored progress. Only engines with that version are chosen for it. If none with it is open, or it makes no progress for 3 s, it begins anew at any engine. Progress stored by an earlier release names no version, so its text begins anew. While hosts of an earlier release run beside this one, those still go on anywhere.

--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -137,6 +137,10 @@
     /// Weight versions that generated them.
     #[prost(uint64, repeated, tag = "5")]
     pub versions: Vec<u64>,
+    /// Version of the engines' software that generated the text; empty if an
+    /// earlier release stored it, which did not know.
+    #[prost(string, tag = "6")]
+    pub software: String,
 }
 
 /// A part of a submission; a submission that is too large for one record has
--- a/crates/jobs/src/text.rs
+++ b/crates/jobs/src/text.rs
@@ -1,5 +1,6 @@
 //! Assembly of an item's text from the event streams of one or more engines.
 
+use cassia_ids::Software;
 use cassia_ids::Version;
 
 use crate::Event;
@@ -41,6 +42,12 @@
         /// The version of the text so far.
         expected: Version,
     },
+    /// The engine's software is not the version that began the text.
+    #[error("the engine's software is not the version that began the text")]
+    OtherSoftware,
+    /// It is not known which version of the engines' software began the text.
+    #[error("it is unknown which version of the software began the text")]
+    UnknownSoftware,
     /// The text is longer than a result may be.
     #[error("text exceeds {max_bytes} bytes")]
     TooLong {
@@ -52,8 +59,8 @@
 /// The text of an item so far, with the weight versions that generated it.
 ///
 /// Invariant: the text consists of the events from the first id on, each once
-/// and in order, and `versions` contains exactly the versions that generated
-/// at least one of them.
+/// and in order, all by one version of the engines' software, and `versions`
+/// contains exactly the weight versions that generated at least one of them.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ItemText {
     text: String,
@@ -61,6 +68,9 @@
     versions: Vec<Version>,
     /// The weight version that the current run generates with.
     run_version: Option<Version>,
+    /// The version of the software that the current run is at; once there is an
+    /// event, that of the whole text.
+    software: Software,
     min_version: Version,
     single_version: bool,
     max_bytes: usize,
@@ -79,8 +89,12 @@
     ///
     /// # Errors
     ///
-    /// A version that generated it is not allowed, or it is too long.
+    /// A version that generated it is not allowed, it is too long, or the version
+    /// of the software that generated it is unknown.
     pub fn continue_from(mut self, progress: &ItemProgress) -> Result<Self, TextError> {
+        if progress.software.is_empty() {
+            return Err(TextError::UnknownSoftware);
+        }
         for version in &progress.versions {
             self.check_version(*version)?;
             self.versions.push(*version);
@@ -90,6 +104,7 @@
         }
         self.text.clone_from(&progress.text);
         self.last_event_id = Some(progress.last_event_id);
+        self.software = Software::new(&progress.software);
         Ok(self)
     }
 
@@ -103,21 +118,31 @@
             last_event_id: self.last_event_id?,
             text: self.text.clone(),
             versions: self.versions.clone(),
+            software: self.software.to_string(),
         })
     }
 
     /// Starts the first run, or one that resumes after another broke off.
-    /// `version` is the engine's weight version, if known.
+    /// `version` is the engine's weight version, if known, and `software` the
+    /// version of its software.
     ///
     /// # Errors
     ///
-    /// The version is not allowed.
-    pub fn start_run(&mut self, version: Option<Version>) -> Result<(), TextError> {
+    /// A version is not allowed.
+    pub fn start_run(
+        &mut self,
+        version: Option<Version>,
+        software: &Software,
+    ) -> Result<(), TextError> {
         self.run_version = None;
+        if !self.accepts_software(software) {
+            return Err(TextError::OtherSoftware);
+        }
         if let Some(version) = version {
             self.check_version(version)?;
         }
         self.run_version = version;
+        self.software.clone_from(software);
         Ok(())
     }
 
@@ -162,6 +187,20 @@
         self.last_event_id
     }
 
+    /// Returns the version of the software that must generate the rest of the
+    /// text; `None` while there is no event.
+    #[must_use]
+    pub fn fixed_software(&self) -> Option<&Software> {
+        self.last_event_id.map(|_| &self.software)
+    }
+
+    /// Returns whether engines with this version of the software may generate the
+    /// next event.
+    #[must_use]
+    pub fn accepts_software(&self, software: &Software) -> bool {
+        self.fixed_software().is_none_or(|fixed| fixed == software)
+    }
+
     /// Returns the version that must generate the rest of the text, if it is
     /// fixed.
     #[must_use]
--- a/crates/jobs/tests/text.rs
+++ b/crates/jobs/tests/text.rs
@@ -1,6 +1,7 @@
 //! A text consists of the events in order, each once, with the weight versions
 //! that generated them, wherever its streams break off and resume.
 
+use cassia_ids::Software;
 use cassia_jobs::Event;
 use cassia_jobs::EventError;
 use cassia_jobs::EventParser;
@@ -13,6 +14,8 @@
 
 const FIELD: &str = "weights";
 const MAX_BYTES: usize = 1 << 20;
+const SOFTWARE: Software = Software::new_static("v1");
+const OTHER_SOFTWARE: Software = Software::new_static("v2");
 
 fn event(id: u64, version: Option<u64>) -> Event {
     Event { id: Some(id), data: format!("d{id}"), version }
@@ -69,7 +72,7 @@
         let mut text = ItemText::new(1, single, MAX_BYTES);
         let (mut next, mut versions) = (0, Vec::new());
         for (length, version) in runs {
-            if text.start_run(Some(version)).is_err() {
+            if text.start_run(Some(version), &SOFTWARE).is_err() {
                 prop_assert!(single && versions[0] != version);
                 continue;
             }
@@ -94,7 +97,7 @@
 #[case::back(&[0, 1, 2, 1], TextError::OutOfOrder { got: 1, expected: 3 })]
 fn an_event_out_of_order_is_refused(#[case] ids: &[u64], #[case] expected: TextError) {
     let mut text = ItemText::new(0, false, MAX_BYTES);
-    text.start_run(Some(1)).expect("allowed");
+    text.start_run(Some(1), &SOFTWARE).expect("allowed");
     let pushed: Vec<_> = ids.iter().map(|id| text.push(&event(*id, None))).collect();
     assert_eq!(pushed.last(), Some(&Err(expected)));
 }
@@ -113,7 +116,7 @@
     #[case] expected: Result<(), TextError>,
 ) {
     let mut text = ItemText::new(min_version, single, MAX_BYTES);
-    let outcome = text.start_run(run_version).and_then(|()| {
+    let outcome = text.start_run(run_version, &SOFTWARE).and_then(|()| {
         if run_version.is_some() {
             text.push(&event(0, None))?;
         }
@@ -166,14 +169,14 @@
     let (mut whole, mut first) = (new_text(), new_text());
     assert!(first.progress("j", 7).is_none(), "no event yet");
     for text in [&mut whole, &mut first] {
-        text.start_run(Some(2)).expect("allowed");
+        text.start_run(Some(2), &SOFTWARE).expect("allowed");
         (0..stored_after).for_each(|id| text.push(&event(id)).expect("the next event"));
     }
     let progress = first.progress("j", 7).expect("events");
     assert_eq!((progress.index, progress.last_event_id), (7, stored_after - 1));
     let mut second = new_text().continue_from(&progress).expect("an allowed version");
     for text in [&mut whole, &mut second] {
-        text.start_run(Some(3)).expect("allowed");
+        text.start_run(Some(3), &SOFTWARE).expect("allowed");
         (stored_after..6).for_each(|id| text.push(&event(id)).expect("the next event"));
     }
     assert_eq!(second.finish(), whole.finish());
@@ -189,15 +192,49 @@
         last_event_id: 1,
         text: "piece 0\npiece 1".to_owned(),
         versions: vec![2],
+        software: SOFTWARE.to_string(),
     };
     assert!(text.continue_from(&progress).is_err());
 }
 
+/// Guards against ORDER: a text whose events come from two software versions.
+#[rstest]
+#[case::same_software(1, &SOFTWARE, Ok(()))]
+#[case::other_software(1, &OTHER_SOFTWARE, Err(TextError::OtherSoftware))]
+#[case::other_software_before_the_first_event(0, &OTHER_SOFTWARE, Ok(()))]
+fn a_text_goes_on_at_the_software_that_began_it(
+    #[case] events: u64,
+    #[case] software: &Software,
+    #[case] expected: Result<(), TextError>,
+) {
+    let mut text = ItemText::new(1, false, MAX_BYTES);
+    text.start_run(Some(1), &SOFTWARE).expect("allowed");
+    (0..events).for_each(|id| text.push(&event(id, None)).expect("the next event"));
+    assert_eq!(text.fixed_software(), (events > 0).then_some(&SOFTWARE));
+    assert_eq!(text.accepts_software(software), expected.is_ok());
+    assert_eq!(text.start_run(Some(1), software), expected);
+}
+
+/// Guards against ORDER: a stored text that goes on at another software version.
+#[rstest]
+#[case::known(&SOFTWARE, Some(SOFTWARE))]
+#[case::stored_by_an_earlier_release("", None)]
+fn a_stored_text_knows_its_software(#[case] stored: &str, #[case] expected: Option<Software>) {
+    let mut text = ItemText::new(1, false, MAX_BYTES);
+    text.start_run(Some(1), &SOFTWARE).expect("allowed");
+    text.push(&event(0, None)).expect("the first event");
+    let progress = text.progress("j", 0).expect("an event");
+    assert_eq!(progress.software, SOFTWARE);
+    let progress = ItemProgress { software: stored.to_owned(), ..progress };
+    let going_on = ItemText::new(1, false, MAX_BYTES).continue_from(&progress);
+    assert_eq!(going_on.ok().and_then(|text| text.fixed_software().cloned()), expected);
+}
+
 /// An engine that sends events without end must not take all memory.
 #[test]
 fn a_text_has_a_limit() {
     let mut text = ItemText::new(1, false, 100);
-    text.start_run(Some(1)).expect("allowed");
+    text.start_run(Some(1), &SOFTWARE).expect("allowed");
     let event = |id| Event { id: Some(id), data: "x".repeat(9), version: None };
     let pushed = (0..1_000).take_while(|id| text.push(&event(*id)).is_ok()).count();
     assert_eq!(pushed, 10);
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -166,7 +166,7 @@
         head: &ResponseHead,
         text: &mut ItemText,
     ) -> RunOutcome {
-        if let Err(e) = text.start_run(head.version) {
+        if let Err(e) = text.start_run(head.version, &self.engine.target().info.software) {
             return self.text_error(e);
         }
         let mut timer = EventTimer { since: None, events: 0 };
@@ -266,7 +266,9 @@
                 self.record_failure("text without end");
                 RunOutcome::Inconsistent
             }
-            TextError::MixedVersions { .. }
+            TextError::OtherSoftware
+            | TextError::UnknownSoftware
+            | TextError::MixedVersions { .. }
             | TextError::MissingId { .. }
             | TextError::UnknownVersion(_)
             | TextError::OutOfOrder { .. } => RunOutcome::Inconsistent,
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use cassia_adapter::reward_request;
 use cassia_ids::ModelName;
+use cassia_ids::TargetId;
 use cassia_jobs::Item;
 use cassia_jobs::ItemProgress;
 use cassia_jobs::ItemResult;
@@ -36,12 +37,16 @@
 use crate::generate::Run;
 use crate::generate::RunOutcome;
 use crate::slot::Slot;
+use crate::slot::SlotWait;
 use crate::state::lock;
 
 /// One in this many items of a job, the longest ones, counts as long.
 const LONG_ITEM_DIVISOR: usize = 4;
 /// Maximum number of times that an item moves to a faster engine.
 const MAX_MOVES: u32 = 3;
+/// How long a text that makes no progress waits for engines with the version of the
+/// software that began it, before it begins anew at any engine.
+const SOFTWARE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay while an item or its reward call has no route.
 const NO_ROUTE_DELAY: Duration = Duration::from_millis(300);
 /// Added to the retention of an item, since the hosts' clocks differ.
@@ -278,6 +283,7 @@
         let mut text = self.stored_text(index, &item.path);
         let mut failed = Vec::new();
         let mut moves = 0;
+        let mut software_deadline = Instant::now() + SOFTWARE_TIMEOUT;
         loop {
             let Some(route) = self.find_route(&self.submission.host, &item.path) else {
                 sleep(NO_ROUTE_DELAY).await;
@@ -286,16 +292,28 @@
             if self.is_past_retention(&route) {
                 return Some(Err(ItemOutcome::PastRetention));
             }
-            let slot = match next.take() {
-                Some(slot) => slot,
-                None => self.wait_for_slot(index, None, &failed).await?,
+            let wait = match next.take().filter(|slot| may_run(slot, text.as_ref())) {
+                Some(slot) => SlotWait::Slot(slot),
+                None => self.wait_to_go_on(index, &failed, text.as_ref(), software_deadline).await,
+            };
+            let slot = match wait {
+                SlotWait::Slot(slot) => slot,
+                SlotWait::PartitionLost => return None,
+                SlotWait::NoEngine => {
+                    text = None;
+                    continue;
+                }
             };
             let engine = slot.engine.as_ref()?;
             let so_far = text.get_or_insert_with(|| self.new_text(&route));
             let host = &self.submission.host;
             let has_faster_slot = || {
                 let own = engine.target();
-                let better = |t: &Target| !t.is_slow() && (own.is_slow() || t.is_faster_than(own));
+                let better = |t: &Target| {
+                    t.info.software == own.info.software
+                        && !t.is_slow()
+                        && (own.is_slow() || t.is_faster_than(own))
+                };
                 moves < MAX_MOVES
                     && self.find_free_slot(index, SlotPreference::Fastest, better).is_some()
             };
@@ -314,7 +332,11 @@
                 has_faster_slot,
                 store_progress: &store_progress,
             };
+            let before = so_far.last_event_id();
             let outcome = run.generate(so_far).await;
+            if so_far.last_event_id() > before {
+                software_deadline = Instant::now() + SOFTWARE_TIMEOUT;
+            }
             let tried = engine.target().info.id.clone();
             drop(slot);
             match outcome {
@@ -340,6 +362,26 @@
         }
     }
 
+    /// Waits for an engine at which the text may go on.
+    async fn wait_to_go_on(
+        &self,
+        index: u32,
+        failed: &[TargetId],
+        text: Option<&ItemText>,
+        deadline: Instant,
+    ) -> SlotWait {
+        let Some(software) = text.and_then(ItemText::fixed_software) else {
+            let slot = self.wait_for_slot(index, None, failed, None).await;
+            return slot.map_or(SlotWait::PartitionLost, SlotWait::Slot);
+        };
+        let wait = self.wait_for_slot_with_software(index, failed, software, deadline).await;
+        if matches!(wait, SlotWait::NoEngine) {
+            let (id, software) = (self.item(index).id.as_str(), software.as_str());
+            log::info!(event = "item_begins_anew", step = "run", id, software; "no engine with the software that began it");
+        }
+        wait
+    }
+
     fn new_text(&self, route: &Route) -> ItemText {
         let max_bytes = self.app.settings.max_text_bytes();
         ItemText::new(self.submission.min_version, route.job.single_version, max_bytes)
@@ -421,3 +463,9 @@
         Some(call.run_idempotent().await)
     }
 }
+
+/// Returns whether the engine of a slot may go on with a text.
+fn may_run(slot: &Slot, text: Option<&ItemText>) -> bool {
+    let software = slot.engine.as_ref().map(|engine| &engine.target().info.software);
+    text.zip(software).is_none_or(|(text, software)| text.accepts_software(software))
+}
--- a/crates/serve/src/job.rs
+++ b/crates/serve/src/job.rs
@@ -104,7 +104,8 @@
             }
             let group = self.cx.item(index).group.clone();
             let preferred = self.engine_by_group.get(&group).cloned();
-            let Some(slot) = self.cx.wait_for_slot(index, preferred.as_deref(), &[]).await else {
+            let Some(slot) = self.cx.wait_for_slot(index, preferred.as_deref(), &[], None).await
+            else {
                 self.requeued.push(index);
                 return;
             };
--- a/crates/serve/src/slot.rs
+++ b/crates/serve/src/slot.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_ids::Software;
 use cassia_ids::TargetId;
 use cassia_route::InFlight;
 use cassia_route::SlotPreference;
 use cassia_route::Target;
 use cassia_route::TargetKind;
+use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::app::App;
 use crate::item::JobContext;
@@ -29,6 +32,17 @@
     pub(crate) engine: Option<InFlight>,
 }
 
+/// How the wait for a slot at an engine with one version of the software ended.
+#[derive(Debug)]
+pub(crate) enum SlotWait {
+    /// With a slot.
+    Slot(Slot),
+    /// This process no longer owns the partition.
+    PartitionLost,
+    /// No such engine is open, or none had a free slot in time.
+    NoEngine,
+}
+
 impl Slot {
     fn new(app: Arc<App>, engine: InFlight) -> Self {
         Self { app, engine: Some(engine) }
@@ -47,12 +61,14 @@
     /// Waits for a slot at an engine that may run the item; `None` if this
     /// process no longer owns the partition.
     ///
-    /// An engine in `failed` is only used if there is no other.
+    /// An engine in `failed` is only used if there is no other. With `software`,
+    /// only engines with that version of the software are used.
     pub(crate) async fn wait_for_slot(
         &self,
         index: u32,
         preferred: Option<&str>,
         failed: &[TargetId],
+        software: Option<&Software>,
     ) -> Option<Slot> {
         let log_wait_at = Instant::now() + WAIT_LOG_INTERVAL;
         loop {
@@ -62,14 +78,16 @@
             let freed = self.app.state.slot_freed.notified();
             let mut freed = std::pin::pin!(freed);
             freed.as_mut().enable();
-            let is_allowed = |target: &Target| !failed.contains(&target.info.id);
+            let has_software = |target: &Target| has_software(target, software);
+            let is_allowed =
+                |target: &Target| has_software(target) && !failed.contains(&target.info.id);
             let preference = if self.item(index).expected_output >= self.long_item_tokens {
                 SlotPreference::Fastest
             } else {
                 SlotPreference::Target(preferred)
             };
             let engine = self.claim_free_slot(index, preference, is_allowed);
-            let engine = engine.or_else(|| self.claim_failed_engine(index, failed));
+            let engine = engine.or_else(|| self.claim_failed_engine(index, failed, software));
             if let Some(engine) = engine {
                 return Some(Slot::new(Arc::clone(&self.app), engine));
             }
@@ -104,16 +122,66 @@
         log::info!(event = "items_wait", step = "choose", id, job, min_version, engines, fit = eligible; "no free slot at an engine with a new enough version");
     }
 
-    /// Claims a free slot at any engine if all engines have failed the item.
-    fn claim_failed_engine(&self, index: u32, failed: &[TargetId]) -> Option<InFlight> {
+    /// Waits for a slot at an engine with this version of the software, until
+    /// `deadline` or until none with it is open.
+    pub(crate) async fn wait_for_slot_with_software(
+        &self,
+        index: u32,
+        failed: &[TargetId],
+        software: &Software,
+        deadline: Instant,
+    ) -> SlotWait {
+        if Instant::now() >= deadline {
+            return SlotWait::NoEngine;
+        }
+        let slot = self.wait_for_slot(index, None, failed, Some(software));
+        tokio::select! {
+            slot = timeout_at(deadline.into(), slot) => match slot {
+                Ok(Some(slot)) => SlotWait::Slot(slot),
+                Ok(None) => SlotWait::PartitionLost,
+                Err(_) => SlotWait::NoEngine,
+            },
+            () = self.wait_until_none_open(index, software) => SlotWait::NoEngine,
+        }
+    }
+
+    /// Waits until no engine with this version of the software is open.
+    async fn wait_until_none_open(&self, index: u32, software: &Software) {
+        while self.has_open_engine(index, software) {
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    fn has_open_engine(&self, index: u32, software: &Software) -> bool {
+        let Some(route) = self.find_route(&self.submission.host, &self.item(index).path) else {
+            return true;
+        };
+        let targets = self.app.state.targets.load();
+        route.split.iter().any(|(name, _)| {
+            let kind = TargetKind::Service { name: name.clone() };
+            let mut engines = targets.of_kind(&kind).iter();
+            engines.any(|target| target.is_open() && target.info.software == *software)
+        })
+    }
+
+    /// Claims a free slot at any engine if all engines with this version of the
+    /// software have failed the item.
+    fn claim_failed_engine(
+        &self,
+        index: u32,
+        failed: &[TargetId],
+        software: Option<&Software>,
+    ) -> Option<InFlight> {
         if failed.is_empty() {
             return None;
         }
         let kind = self.target_kind(index)?;
         let targets = self.app.state.targets.load();
-        let mut open = targets.of_kind(&kind).iter().filter(|target| target.is_open());
+        let is_candidate = |target: &Target| target.is_open() && has_software(target, software);
+        let mut open = targets.of_kind(&kind).iter().filter(|target| is_candidate(target));
         if open.all(|target| failed.contains(&target.info.id)) {
-            return self.claim_free_slot(index, SlotPreference::Target(None), |_| true);
+            let is_allowed = |target: &Target| has_software(target, software);
+            return self.claim_free_slot(index, SlotPreference::Target(None), is_allowed);
         }
         None
     }
@@ -172,3 +240,7 @@
         free.map(|target| target.info.slots.saturating_sub(target.load())).sum()
     }
 }
+
+fn has_software(target: &Target, software: Option<&Software>) -> bool {
+    software.is_none_or(|software| target.info.software == *software)
+}
