Callers' streams go on only at the software version that began them

Cause: a resumption was handled as a new request. No host knows which version began a stream at another one.

Change: while a service has, or had in the last two minutes, several versions, each host reports the streams that it began, by a digest of the attempt's id, with the version, through a topic of the store that all hosts read. Streams from before are reported when the second version is seen. A resumption goes only to the version that began it. With several versions and no report it is refused at once, as not run, to come again after 0.25 s. With a single version the host first makes sure, by a read of the list that began after the request arrived, that no other host can have seen another one; without the store it can't, and refuses what it doesn't know.

New trials: the first host is killed after its report; with one version streams go on anywhere and nothing is reported; an engine that restarts with another version.

--- /dev/null
+++ b/crates/resume/tests/table.rs
@@ -0,0 +1,86 @@
+//! A stream is resumed only at the version of the software that began it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use cassia_resume::RETENTION;
+use cassia_resume::ResumeDecision;
+use cassia_resume::StreamRecord;
+use cassia_resume::StreamTable;
+use rstest::rstest;
+
+const STREAM: u64 = 7;
+
+fn at(software: &str) -> ResumeDecision {
+    ResumeDecision::At { service: "lm".into(), software: software.into() }
+}
+
+fn decide(table: &StreamTable, now: Instant) -> ResumeDecision {
+    table.decide(STREAM, &["lm".into()], now)
+}
+
+/// Guards against ORDER: an unknown stream that goes on while two versions may have
+/// begun it, also shortly after one of them is gone.
+#[rstest]
+#[case::no_target(&[], ResumeDecision::Single)]
+#[case::one_version(&[("v1", 0)], ResumeDecision::Single)]
+#[case::two_versions(&[("v1", 0), ("v2", 0)], ResumeDecision::Unknown)]
+#[case::one_is_gone(&[("v1", 60), ("v2", 0)], ResumeDecision::Unknown)]
+#[case::one_is_long_gone(&[("v1", RETENTION.as_secs()), ("v2", 0)], ResumeDecision::Single)]
+fn an_unknown_stream(#[case] seen: &[(&str, u64)], #[case] expected: ResumeDecision) {
+    let start = Instant::now();
+    let mut table = StreamTable::default();
+    for (software, age_s) in seen {
+        let at = start + RETENTION.saturating_sub(Duration::from_secs(*age_s));
+        table.observe(&"lm".into(), &(*software).into(), at);
+    }
+    let now = start + RETENTION;
+    assert_eq!(decide(&table, now), expected);
+    let sole = table.sole_version("lm", now);
+    assert_eq!(sole.is_some(), expected == ResumeDecision::Single && !seen.is_empty());
+}
+
+/// Guards against LOST: streams that began before a second version came are reported
+/// as soon as it comes, and known to the other host.
+#[test]
+fn streams_are_reported_once_a_second_version_serves() {
+    let now = Instant::now();
+    let (mut first, mut second) = (StreamTable::default(), StreamTable::default());
+    assert!(!first.begin(STREAM, &"lm".into(), &"v1".into(), now));
+    assert_eq!(first.take_reports(now), []);
+    first.observe(&"lm".into(), &"v2".into(), now);
+    let reports = first.take_reports(now);
+    assert_eq!(reports.len(), 2, "{reports:?}");
+    assert_eq!(first.take_reports(now), [], "reported once");
+    assert!(first.begin(STREAM + 1, &"lm".into(), &"v2".into(), now), "reported at once");
+    for report in &reports {
+        let record = StreamRecord::decode(report.to_record()).expect("a record");
+        assert_eq!(record, *report);
+        second.apply(&record, now);
+    }
+    assert_eq!(decide(&second, now), at("v1"));
+    assert!(second.is_mixed("lm", now), "the versions are reported too");
+    assert!(!second.is_mixed("other", now));
+}
+
+/// Guards against memory that grows with the number of streams.
+#[test]
+fn old_streams_are_forgotten() {
+    let now = Instant::now();
+    let mut table = StreamTable::default();
+    table.observe(&"lm".into(), &"v2".into(), now);
+    for stream in 0..200_000 {
+        table.begin(stream, &"lm".into(), &"v1".into(), now);
+    }
+    assert_eq!(decide(&table, now), ResumeDecision::Unknown);
+    let streams: usize = table.take_reports(now).iter().map(|r| r.streams.len()).sum();
+    assert!(streams <= 16_384, "{streams}");
+}
+
+#[rstest]
+#[case::no_service(b"")]
+#[case::not_a_record(b"\xff\xff\xff")]
+fn an_invalid_record_is_refused(#[case] bytes: &'static [u8]) {
+    assert!(StreamRecord::decode(Bytes::from_static(bytes)).is_err());
+}
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -91,6 +91,8 @@
     /// Targets that this request was already sent to. One of them is chosen
     /// only if there is no other.
     pub tried: &'a [TargetId],
+    /// Only targets with this version of the software are chosen.
+    pub software: Option<&'a str>,
     /// Data centre in which a target is preferred, as it stays reachable when
     /// the data centres are partitioned from each other.
     pub preferred_data_centre: Option<&'a str>,
@@ -106,6 +108,7 @@
             load_scope: LoadScope::default(),
             affinity: None,
             tried: &[],
+            software: None,
             preferred_data_centre: None,
         }
     }
@@ -399,7 +402,9 @@
         let all = self.of_kind(query.kind);
         let now_ms = self.millis(now);
         let micros = self.micros(now);
-        let is_untried = |t: &Arc<Target>| t.accepts(micros) && !query.tried.contains(&t.info.id);
+        let fits = |t: &Arc<Target>| query.software.is_none_or(|s| t.info.software == s);
+        let accepts = |t: &Arc<Target>| fits(t) && t.accepts(micros);
+        let is_untried = |t: &Arc<Target>| accepts(t) && !query.tried.contains(&t.info.id);
         let is_eligible = |t: &Arc<Target>| is_untried(t) && !t.is_avoided(now_ms);
         let found = match query.policy {
             Policy::TwoChoices => two_choices(all, query, now_ms, is_eligible, rng),
@@ -409,10 +414,10 @@
         // A target that is avoided, or that this request was already sent to,
         // is still better than none.
         let found = found.or_else(|| pick_random(all, is_untried, rng));
-        let found = found.or_else(|| pick_random(all, |t| t.accepts(micros), rng));
+        let found = found.or_else(|| pick_random(all, accepts, rng));
         match found {
             Some(target) => Choice::Target(Arc::clone(target)),
-            None if all.iter().any(|t| t.is_open()) => Choice::RateLimited,
+            None if all.iter().any(|t| fits(t) && t.is_open()) => Choice::RateLimited,
             None => Choice::NoneOpen,
         }
     }
--- a/crates/route/tests/registry.rs
+++ b/crates/route/tests/registry.rs
@@ -6,6 +6,7 @@
 
 use cassia_route::Heartbeat;
 use cassia_route::TargetRegistry;
+use cassia_route::TargetSet;
 use cassia_route::Update;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -139,3 +140,19 @@
     registry.prune(now + Duration::from_mins(10));
     assert_eq!(registry.apply(heartbeat(1, 1, false)), Update::Changed);
 }
+
+/// Guards against ORDER: a target that starts again under its id with another version
+/// of its software is taken for the one before.
+#[test]
+fn a_restart_with_another_software_is_a_target_of_its_own() {
+    let now = Instant::now();
+    let mut registry = TargetRegistry::default();
+    registry.apply(heartbeat(1, 5, false));
+    let before = TargetSet::empty(now).updated(&registry.targets(now));
+    let restarted = Heartbeat { software: "v2".into(), ..heartbeat(2, 0, false) };
+    assert_eq!(registry.apply(restarted), Update::Changed);
+    let after = before.updated(&registry.targets(now));
+    let software: Vec<_> = after.all().map(|target| target.info.software.clone()).collect();
+    assert_eq!(software, ["v2"]);
+    assert!(before.all().all(|target| !target.is_open()), "no more requests to the one before");
+}
--- a/crates/route/tests/view.rs
+++ b/crates/route/tests/view.rs
@@ -201,6 +201,40 @@
     }
 }
 
+/// Guards against ORDER: a stream that goes on at another version of the software
+/// since no target of its own is free or untried.
+#[rstest]
+#[case::untried(&[], Some("e0"))]
+#[case::tried(&["e0"], Some("e0"))]
+#[case::closed(&["closed"], None)]
+fn only_targets_with_the_software_are_chosen(
+    #[case] tried: &[&str],
+    #[case] expected: Option<&str>,
+) {
+    let now = Instant::now();
+    let targets: Vec<_> = (0..6)
+        .map(|i| {
+            let software = if i == 0 { "v1" } else { "v2" };
+            TargetInfo { software: software.into(), ..info(&format!("e{i}"), 1, false) }
+        })
+        .collect();
+    let set = TargetSet::empty(now).updated(&targets);
+    if tried.contains(&"closed") {
+        set.all().filter(|target| target.info.software == "v1").for_each(|target| target.close());
+    }
+    let tried: Vec<_> = tried.iter().map(|id| (*id).into()).collect();
+    let kind = kind();
+    let query = TargetQuery { tried: &tried, software: Some("v1"), ..TargetQuery::new(&kind) };
+    for _ in 0..50 {
+        let chosen = match set.choose(&query, &mut rng(), now) {
+            Choice::Target(target) => Some(target.info.id.clone()),
+            Choice::NoneOpen => None,
+            Choice::RateLimited => panic!("no target is limited"),
+        };
+        assert_eq!(chosen.as_deref(), expected);
+    }
+}
+
 #[test]
 fn a_stale_report_causes_herding_with_least_reported_but_not_two_choices() {
     // Forty processes have the same reports: one engine is idle, the others
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -14,6 +14,7 @@
 use crate::flags::ServeSettings;
 use crate::job_log::JobLog;
 use crate::quarantine::Quarantine;
+use crate::resume::Streams;
 use crate::state::SharedState;
 
 /// The shared state and the clients of other systems.
@@ -27,6 +28,8 @@
     pub(crate) job_log: JobLog,
     /// The requests under which targets crashed.
     pub(crate) quarantine: Quarantine,
+    /// Which version of the software began which stream.
+    pub(crate) streams: Streams,
     /// Memory used by request bodies that are not complete yet.
     pub(crate) body_budget: Arc<ByteBudget>,
     pub(crate) metrics: Metrics,
@@ -46,6 +49,7 @@
             state: SharedState::new(settings),
             job_log: JobLog::new(&store, settings.store_parts),
             quarantine: Quarantine::default(),
+            streams: Streams::default(),
             body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
             store,
             client: HttpClient::new(response_budget),
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -20,6 +20,7 @@
 mod quarantine;
 mod rate_limits;
 mod response;
+mod resume;
 mod runner;
 mod slot;
 mod state;
@@ -74,6 +75,8 @@
     tokio::spawn(rate_limits::run(Arc::clone(&app)));
     tokio::spawn(quarantine::read_reports(Arc::clone(&app)));
     tokio::spawn(quarantine::append_reports(Arc::clone(&app)));
+    tokio::spawn(resume::read_reports(Arc::clone(&app)));
+    tokio::spawn(resume::append_reports(Arc::clone(&app)));
     let ownership = tokio::spawn(ownership::run(Arc::clone(&app)));
     let weights = tokio::spawn(weights::run(Arc::clone(&app)));
     ingress::wait_for_stop_signal(&app).await?;
--- a/crates/serve/src/response.rs
+++ b/crates/serve/src/response.rs
@@ -36,6 +36,9 @@
     /// This host has used its share of the rate that the targets accept; the
     /// request did not run.
     RateLimited,
+    /// It is not known which version of the software began the stream that the
+    /// request resumes; it did not run.
+    UnknownSoftware,
     /// The store is unavailable; the request did not run.
     StoreUnavailable,
     /// The request may have run, but there is no response.
@@ -46,7 +49,7 @@
     NoSuchJob,
 }
 
-/// `retry-after` while targets or memory are missing, in seconds.
+/// `retry-after` while targets, memory or another host's report are missing, in seconds.
 const SHORT_RETRY_AFTER: &str = "0.25";
 /// `retry-after` while the configuration, the store or a share of a limited rate
 /// is missing, in seconds.
@@ -63,7 +66,8 @@
             | Self::NotConfigured
             | Self::Quarantined
             | Self::RateLimited
-            | Self::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::StoreUnavailable
+            | Self::UnknownSoftware => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute | Self::NoSuchJob => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
@@ -86,6 +90,7 @@
             Self::Quarantined => "quarantined",
             Self::RateLimited => "rate_limited",
             Self::StoreUnavailable => "store_away",
+            Self::UnknownSoftware => "unknown_software",
             Self::OutcomeUnknown => "target_failed",
             Self::DeadlinePassed => "deadline_passed",
             Self::NoSuchJob => "no_such_job",
@@ -106,7 +111,7 @@
                 Some(LONG_RETRY_AFTER)
             }
             Self::Quarantined => Some(QUARANTINE_RETRY_AFTER),
-            Self::NoMemory | Self::NoTarget => Some(SHORT_RETRY_AFTER),
+            Self::NoMemory | Self::NoTarget | Self::UnknownSoftware => Some(SHORT_RETRY_AFTER),
             _ => None,
         }
     }
--- /dev/null
+++ b/crates/serve/src/resume.rs
@@ -0,0 +1,232 @@
+//! The stream controller: shares with the other hosts which version of the
+//! software began which stream, through a topic of the store.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_adapter::RequestHead;
+use cassia_clients::PartitionRef;
+use cassia_clients::StoreError;
+use cassia_clients::StoreErrorKind;
+use cassia_ids::Offset;
+use cassia_ids::Software;
+use cassia_node::ReadBackoff;
+use cassia_resume::ResumeDecision;
+use cassia_resume::StreamRecord;
+use cassia_resume::StreamTable;
+use cassia_resume::stream_digest;
+use cassia_route::Route;
+use cassia_route::Target;
+use cassia_route::TargetKind;
+use cassia_route::TargetSet;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::response::Refusal;
+use crate::state::lock;
+
+/// The topic of the reports.
+const REPORTS: PartitionRef<'static> = PartitionRef { topic: "streams", partition: 0 };
+/// Limit of one read.
+const READ_MAX_KB: u32 = 512;
+/// How long the store may hold a read back until there are records.
+const LONG_POLL: Duration = Duration::from_secs(2);
+/// How long a response of the store may take beyond the long poll.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum timeout of a read, which grows while reads fail.
+const MAX_READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout of an append.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Delay after a failed call; the backoff lengthens that of reads.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// How long streams are collected for one append: the streams of a host that ends
+/// within this time of their first event can't be resumed.
+const BATCH_DELAY: Duration = Duration::from_millis(200);
+/// How long a resumption waits for the list of targets to be read again.
+const LIST_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Where a request may run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Origin {
+    /// The service.
+    pub(crate) service: SmolStr,
+    /// The only version of its software; `None` for any.
+    pub(crate) software: Option<Software>,
+}
+
+/// Which version of the software began which stream.
+#[derive(Debug)]
+pub(crate) struct Streams {
+    table: Mutex<StreamTable>,
+    queued: Notify,
+    /// When the newest successful read of the list of targets began.
+    list_read_at: watch::Sender<Option<Instant>>,
+    /// Whether the reports of all hosts have been read to their end once.
+    has_read_reports: watch::Sender<bool>,
+}
+
+impl Default for Streams {
+    fn default() -> Self {
+        Self {
+            table: Mutex::default(),
+            queued: Notify::new(),
+            list_read_at: watch::Sender::new(None),
+            has_read_reports: watch::Sender::new(false),
+        }
+    }
+}
+
+impl Streams {
+    /// Records which versions serve, by a read of the list that began at `read_at`.
+    pub(crate) fn observe_targets(&self, targets: &TargetSet, read_at: Instant) {
+        let now = Instant::now();
+        let mut table = lock(&self.table);
+        for target in targets.all() {
+            let TargetKind::Service { name } = &target.info.kind else { continue };
+            let software = &target.info.software;
+            if table.observe(name, software, now) && table.is_mixed(name, now) {
+                log::info!(event = "software_mixed", step = "targets", service = name.as_str(), software = software.as_str(); "another version of the software serves");
+                self.queued.notify_one();
+            }
+        }
+        drop(table);
+        self.list_read_at.send_replace(Some(read_at));
+    }
+
+    /// Records that a target began a stream, or went on with one.
+    pub(crate) fn begin(&self, head: &RequestHead, target: &Target) {
+        let TargetKind::Service { name } = &target.info.kind else { return };
+        let first = head.resumes.as_ref().filter(|first| !first.is_empty()).unwrap_or(&head.id);
+        let (digest, now) = (stream_digest(first), Instant::now());
+        if lock(&self.table).begin(digest, name, &target.info.software, now) {
+            self.queued.notify_one();
+        }
+    }
+
+    /// Waits until this host knows every version that served when the call was made.
+    async fn wait_until_current(&self, app: &App) -> Result<(), Refusal> {
+        let now = Instant::now();
+        if app.state.store_lost_at.load().is_some() {
+            return Err(Refusal::UnknownSoftware);
+        }
+        let (mut list, mut reports) =
+            (self.list_read_at.subscribe(), self.has_read_reports.subscribe());
+        let both = async {
+            // The senders live as long as `self`.
+            let _ = list.wait_for(|read_at| read_at.is_some_and(|at| at >= now)).await;
+            let _ = reports.wait_for(|read| *read).await;
+        };
+        timeout(LIST_TIMEOUT, both).await.map_err(|_| Refusal::UnknownSoftware)
+    }
+
+    fn decide(&self, first: &str, services: &[SmolStr]) -> ResumeDecision {
+        lock(&self.table).decide(stream_digest(first), services, Instant::now())
+    }
+}
+
+/// Finds where a caller's request may run: anywhere, or if it resumes a stream, only
+/// at the version of the software that began it.
+///
+/// # Errors
+///
+/// The route has no service, or that version is not known.
+pub(crate) async fn find_origin(
+    app: &App,
+    head: &RequestHead,
+    route: &Route,
+) -> Result<Origin, Refusal> {
+    let service = route.pick_service(rand::random()).cloned().ok_or(Refusal::NoTarget)?;
+    let Some(first) = &head.resumes else {
+        return Ok(Origin { service, software: None });
+    };
+    let services: Vec<_> = route.split.iter().map(|(service, _)| service.clone()).collect();
+    let mut decision = app.streams.decide(first, &services);
+    if decision == ResumeDecision::Single {
+        // Another host may have seen a version that this one has not.
+        app.streams.wait_until_current(app).await?;
+        decision = app.streams.decide(first, &services);
+    }
+    match decision {
+        ResumeDecision::At { service, software } if services.contains(&service) => {
+            Ok(Origin { service, software: Some(software) })
+        }
+        ResumeDecision::Single => {
+            let software = lock(&app.streams.table).sole_version(&service, Instant::now());
+            let software = software.ok_or(Refusal::NoTarget)?;
+            Ok(Origin { service, software: Some(software) })
+        }
+        ResumeDecision::At { .. } | ResumeDecision::Unknown => Err(Refusal::UnknownSoftware),
+    }
+}
+
+/// Reads the reports of all hosts until the process ends.
+pub(crate) async fn read_reports(app: Arc<App>) {
+    let mut next = 0;
+    let mut backoff = ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT);
+    loop {
+        match read(&app, next, backoff.timeout()).await {
+            Ok(offset) => {
+                next = offset;
+                backoff.record_success();
+            }
+            Err(e) => {
+                if let StoreErrorKind::Expired { oldest } = e.kind {
+                    next = oldest;
+                } else {
+                    backoff.record_failure();
+                }
+                log::debug!(event = "store_away", step = e.step; "{e}");
+                sleep(backoff.delay(RETRY_DELAY, rand::random())).await;
+            }
+        }
+    }
+}
+
+/// Reads the reports from an offset on, and returns the offset from which to
+/// read on.
+async fn read(app: &App, from: Offset, timeout: Duration) -> Result<Offset, StoreError> {
+    let is_caught_up = *app.streams.has_read_reports.borrow();
+    // The first reads must end although there are no records.
+    let wait = if is_caught_up { LONG_POLL } else { Duration::ZERO };
+    let deadline = Instant::now() + wait + timeout;
+    let read = app.store.read(REPORTS, from, READ_MAX_KB, wait, deadline).await?;
+    let next = read.start + read.records.len() as u64;
+    for record in read.records {
+        match StreamRecord::decode(record) {
+            Ok(record) => lock(&app.streams.table).apply(&record, Instant::now()),
+            Err(e) => {
+                log::warn!(event = "record_unreadable", step = "resume"; "{e}");
+            }
+        }
+    }
+    if !is_caught_up && next >= read.end {
+        app.streams.has_read_reports.send_replace(true);
+    }
+    Ok(next)
+}
+
+/// Appends this host's reports until the process ends.
+pub(crate) async fn append_reports(app: Arc<App>) {
+    loop {
+        app.streams.queued.notified().await;
+        sleep(BATCH_DELAY).await;
+        let reports = lock(&app.streams.table).take_reports(Instant::now());
+        let records: Vec<_> = reports.iter().map(StreamRecord::to_record).collect();
+        if records.is_empty() {
+            continue;
+        }
+        // Appended twice, a report counts once.
+        while let Err(e) =
+            app.store.append(REPORTS, &records, Instant::now() + APPEND_TIMEOUT).await
+        {
+            log::info!(event = "append_failed", step = e.step; "{e}");
+            sleep(RETRY_DELAY).await;
+        }
+    }
+}
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -17,6 +17,7 @@
 use cassia_route::Choice;
 use cassia_route::InFlight;
 use cassia_route::Route;
+use cassia_route::RouteKind;
 use cassia_route::TargetKind;
 use cassia_route::TargetQuery;
 use http::Response;
@@ -32,6 +33,7 @@
 use crate::call::record_load;
 use crate::response::Body;
 use crate::response::Refusal;
+use crate::resume;
 
 /// Handles a caller's request whose response is a stream.
 ///
@@ -44,9 +46,16 @@
     route: &Route,
     outgoing: &OutgoingRequest,
 ) -> Response<Body> {
-    let Some(service) = route.pick_service(rand::random()).cloned() else {
-        return Refusal::NoTarget.response("choose");
+    let origin = match resume::find_origin(app, head, route).await {
+        Ok(origin) => origin,
+        Err(refusal) => {
+            let (id, kind) = (head.id.as_str(), refusal.kind());
+            log::info!(event = "request_refused", step = "resume", id, kind; "not forwarded");
+            return refusal.response("resume");
+        }
     };
+    let (service, software) = (origin.service, origin.software);
+    let is_resumable = route.kind == RouteKind::Stream { resumable: true };
     let kind = TargetKind::Service { name: service };
     let caller_deadline = Instant::now() + head.timeout.unwrap_or_else(|| route.timeout());
     let deadline = caller_deadline.min(Instant::now() + route.timeout());
@@ -59,6 +68,7 @@
         }
         let mut query = TargetQuery::new(&kind);
         query.tried = &tried;
+        query.software = software.as_deref();
         query.preferred_data_centre = Some(&app.state.data_centre);
         let targets = app.state.targets.load_full();
         targets.record_demand(&kind);
@@ -97,6 +107,9 @@
                 }
                 record_load(app, &in_flight, &response_head);
                 if !response_head.not_run {
+                    if response.status().is_success() && is_resumable {
+                        app.streams.begin(head, in_flight.target());
+                    }
                     return forward_response(app, head.id.clone(), digest, response, in_flight);
                 }
             }
--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -81,6 +81,7 @@
                 if change > Update::Unchanged || controller.has_pending_removals {
                     controller.publish(&app);
                 }
+                app.streams.observe_targets(&app.state.targets.load(), began);
             }
             Err(e) => controller.record_failure(&app, &e, began),
         }
--- a/crates/trials/tests/platform_software_versions.rs
+++ b/crates/trials/tests/platform_software_versions.rs
@@ -18,6 +18,7 @@
 use cassia_trials::start_processes;
 use cassia_trials::wait_until_serving;
 use futures::future::join_all;
+use rstest::rstest;
 use serde_json::Value;
 use tokio::time::sleep;
 
@@ -27,6 +28,8 @@
 const STREAMS: usize = 16;
 /// Id of the last event that a caller has of a stream that it takes up again.
 const LAST_EVENT: usize = 2;
+/// Time in which a process has reported the streams that it began.
+const REPORT_TIME: Duration = Duration::from_millis(400);
 /// Time in which every process has read the list of targets.
 const LIST_READ: Duration = Duration::from_millis(900);
 
@@ -209,15 +212,23 @@
 }
 
 /// Guards against ORDER over a caller's tries, and against LOST by refusing all
-/// resumptions.
+/// resumptions; also if the host at which the streams began ends.
+#[rstest]
+#[case::both_live(false)]
+#[case::first_is_killed(true)]
 #[tokio::test]
-async fn a_callers_stream_goes_on_at_another_host_at_the_same_software() -> anyhow::Result<()> {
+async fn a_callers_stream_goes_on_at_another_host_at_the_same_software(
+    #[case] killed: bool,
+) -> anyhow::Result<()> {
     let env = env_with_two_versions().await?;
-    let (first, second) = (env.start_process("h0").await?, env.start_process("h1").await?);
+    let (mut first, second) = (env.start_process("h0").await?, env.start_process("h1").await?);
     wait_until_serving(&env, &first).await?;
     wait_until_serving(&env, &second).await?;
     let begun = begin_streams(&env, &first).await;
-    sleep(Duration::from_millis(300)).await;
+    sleep(REPORT_TIME).await;
+    if killed {
+        first.kill();
+    }
     assert_go_on(&resume_streams(&env, &second, &begun).await);
     Ok(())
 }
@@ -242,6 +253,46 @@
     Ok(())
 }
 
+/// Guards against LOST: resumptions that are refused although a single version
+/// serves, which must have begun them; also those that don't say what they resume.
+#[rstest]
+#[case::named("begun-0")]
+#[case::not_named("")]
+#[tokio::test]
+async fn a_stream_goes_on_anywhere_while_one_version_serves(
+    #[case] resumes: &str,
+) -> anyhow::Result<()> {
+    let mut env = env_without_engines().await?;
+    env.add_engine_with_software("a1", EVENTS, "v2").await?;
+    let (first, second) = (env.start_process("h0").await?, env.start_process("h1").await?);
+    wait_until_serving(&env, &first).await?;
+    wait_until_serving(&env, &second).await?;
+    let begun = begin_streams(&env, &first).await;
+    let resumed = resume_stream(&env, &second, resumes, &begun[0].1).await;
+    assert_eq!(resumed, Resumed::SameSoftware);
+    assert_eq!(env.store.records("streams", 0).len(), 0, "no reports with one version");
+    Ok(())
+}
+
+/// Guards against ORDER: an engine that starts again under its id with another
+/// version of its software is taken for the one before.
+#[tokio::test]
+async fn an_item_begins_anew_when_its_engine_restarts_with_another_software() -> anyhow::Result<()>
+{
+    let mut env = env_without_engines().await?;
+    let engine = env.add_engine_with_software("a1", EVENTS, "v2").await?;
+    engine.set_delay(Duration::from_millis(300));
+    let processes = start_processes(&env, 1).await?;
+    assert_eq!(env.submit_job(&processes[0].1, "j", &batch_job("j", 4, 1)).await.status, 202);
+    let running = || async { engine.running().len() == 4 };
+    anyhow::ensure!(eventually(running).await, "the items don't run");
+    sleep(Duration::from_millis(700)).await;
+    engine.restart_with_software("v3");
+    let results = env.all_results(&processes[0].1, "j").await.context("results")?;
+    assert_not_mixed(&results, 4);
+    Ok(())
+}
+
 /// Guards against ORDER at a host that can't reach the store, and so can't know
 /// what began a stream or that a new version serves elsewhere.
 #[tokio::test]
