A version learnt from another host's report makes a host report its own streams

Cause: a host that read another host's report of the new version before the list had no news left when it read the list, and kept its streams to itself. Now the report is news too. The new case of resume::table fails without the change's return value.

--- a/crates/resume/src/table.rs
+++ b/crates/resume/src/table.rs
@@ -68,14 +68,16 @@
         versions.insert(software.clone(), now).is_none()
     }
 
-    /// Applies a record of this host or another one.
-    pub fn apply(&mut self, record: &StreamRecord, now: Instant) {
-        self.observe(&record.service, &record.software, now);
+    /// Applies a record of this host or another one. Returns whether this host has
+    /// to report its streams now: it learnt from the record of another version.
+    pub fn apply(&mut self, record: &StreamRecord, now: Instant) -> bool {
+        let is_new = self.observe(&record.service, &record.software, now);
         self.announced.insert((record.service.clone(), record.software.clone()));
         let origin = self.origin(&record.service, &record.software);
         for stream in &record.streams {
             self.insert(*stream, origin, now);
         }
+        is_new && self.is_mixed(&record.service, now)
     }
 
     /// Records that a version began a stream at this host. Returns whether the other
--- a/crates/resume/tests/table.rs
+++ b/crates/resume/tests/table.rs
@@ -57,13 +57,33 @@
     for report in &reports {
         let record = StreamRecord::decode(report.to_record()).expect("a record");
         assert_eq!(record, *report);
-        second.apply(&record, now);
+        assert!(!second.apply(&record, now) || record.software == "v2");
     }
     assert_eq!(decide(&second, now), at("v1"));
     assert!(second.is_mixed("lm", now), "the versions are reported too");
     assert!(!second.is_mixed("other", now));
 }
 
+/// Guards against LOST: a host that learns of the second version from another host's
+/// report, before it has read the list itself, keeps its streams to itself.
+#[test]
+fn a_version_that_another_host_reports_makes_this_host_report_its_streams() {
+    let now = Instant::now();
+    let mut table = StreamTable::default();
+    table.begin(STREAM, &"lm".into(), &"v1".into(), now);
+    let other = |software: &str| StreamRecord {
+        service: "lm".into(),
+        software: software.into(),
+        streams: Vec::new(),
+    };
+    assert!(!table.apply(&other("v1"), now));
+    assert!(table.apply(&other("v2"), now));
+    assert!(!table.observe(&"lm".into(), &"v2".into(), now), "no news any more");
+    let reports = table.take_reports(now);
+    assert_eq!(reports.len(), 1, "{reports:?}");
+    assert_eq!(reports[0].streams, [STREAM]);
+}
+
 /// Guards against memory that grows with the number of streams.
 #[test]
 fn old_streams_are_forgotten() {
--- a/crates/serve/src/resume.rs
+++ b/crates/serve/src/resume.rs
@@ -199,7 +199,11 @@
     let next = read.start + read.records.len() as u64;
     for record in read.records {
         match StreamRecord::decode(record) {
-            Ok(record) => lock(&app.streams.table).apply(&record, Instant::now()),
+            Ok(record) => {
+                if lock(&app.streams.table).apply(&record, Instant::now()) {
+                    app.streams.queued.notify_one();
+                }
+            }
             Err(e) => {
                 log::warn!(event = "record_unreadable", step = "resume"; "{e}");
             }
