Items avoid an engine for 1.5 s after they broke off there

Change: a text that has events does not go on at the incarnation at which it broke off for 1.5 s; a new incarnation is known with its version.

--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -36,8 +36,10 @@
 use crate::clock::unix_ms;
 use crate::generate::Run;
 use crate::generate::RunOutcome;
+use crate::slot::BreakOff;
 use crate::slot::Slot;
 use crate::slot::SlotWait;
+use crate::slot::TextOrigin;
 use crate::state::lock;
 
 /// One in this many items of a job, the longest ones, counts as long.
@@ -283,6 +285,7 @@
         let mut text = self.stored_text(index, &item.path);
         let mut failed = Vec::new();
         let mut moves = 0;
+        let mut break_off = None;
         let mut software_deadline = Instant::now() + SOFTWARE_TIMEOUT;
         loop {
             let Some(route) = self.find_route(&self.submission.host, &item.path) else {
@@ -292,9 +295,10 @@
             if self.is_past_retention(&route) {
                 return Some(Err(ItemOutcome::PastRetention));
             }
+            let origin = text_origin(text.as_ref(), break_off.as_ref());
             let wait = match next.take().filter(|slot| may_run(slot, text.as_ref())) {
                 Some(slot) => SlotWait::Slot(slot),
-                None => self.wait_to_go_on(index, &failed, text.as_ref(), software_deadline).await,
+                None => self.wait_to_go_on(index, &failed, origin, software_deadline).await,
             };
             let slot = match wait {
                 SlotWait::Slot(slot) => slot,
@@ -338,6 +342,9 @@
                 software_deadline = Instant::now() + SOFTWARE_TIMEOUT;
             }
             let tried = engine.target().info.id.clone();
+            if outcome == RunOutcome::Interrupted {
+                break_off = Some(BreakOff::new(engine.target()));
+            }
             drop(slot);
             match outcome {
                 RunOutcome::Complete => return text.map(|text| Ok(text.finish())),
@@ -367,16 +374,16 @@
         &self,
         index: u32,
         failed: &[TargetId],
-        text: Option<&ItemText>,
+        origin: Option<TextOrigin<'_>>,
         deadline: Instant,
     ) -> SlotWait {
-        let Some(software) = text.and_then(ItemText::fixed_software) else {
+        let Some(origin) = origin else {
             let slot = self.wait_for_slot(index, None, failed, None).await;
             return slot.map_or(SlotWait::PartitionLost, SlotWait::Slot);
         };
-        let wait = self.wait_for_slot_with_software(index, failed, software, deadline).await;
+        let wait = self.wait_for_slot_with_software(index, failed, origin, deadline).await;
         if matches!(wait, SlotWait::NoEngine) {
-            let (id, software) = (self.item(index).id.as_str(), software.as_str());
+            let (id, software) = (self.item(index).id.as_str(), origin.software.as_str());
             log::info!(event = "item_begins_anew", step = "run", id, software; "no engine with the software that began it");
         }
         wait
@@ -464,6 +471,15 @@
     }
 }
 
+/// Returns what began a text; `None` while there is no event.
+fn text_origin<'a>(
+    text: Option<&'a ItemText>,
+    break_off: Option<&'a BreakOff>,
+) -> Option<TextOrigin<'a>> {
+    let software = text.and_then(ItemText::fixed_software)?;
+    Some(TextOrigin { software, break_off })
+}
+
 /// Returns whether the engine of a slot may go on with a text.
 fn may_run(slot: &Slot, text: Option<&ItemText>) -> bool {
     let software = slot.engine.as_ref().map(|engine| &engine.target().info.software);
--- a/crates/serve/src/slot.rs
+++ b/crates/serve/src/slot.rs
@@ -20,6 +20,8 @@
 
 /// Maximum wait for a notification of a free slot before checking again.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Time in which an engine that restarted is in the list again, and read.
+const RESTART_NOTICE: Duration = Duration::from_millis(1_500);
 /// How long an item waits for a slot before that is logged, and how often it
 /// is logged again.
 const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -32,6 +34,37 @@
     pub(crate) engine: Option<InFlight>,
 }
 
+/// What began a text that is to go on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TextOrigin<'a> {
+    /// Version of the software.
+    pub(crate) software: &'a Software,
+    /// The engine at which it broke off last.
+    pub(crate) break_off: Option<&'a BreakOff>,
+}
+
+/// The engine at which a run broke off. It may have restarted with another version
+/// of its software, which its next entry in the list will name.
+#[derive(Debug)]
+pub(crate) struct BreakOff {
+    engine: TargetId,
+    incarnation: u64,
+    doubted_until: Instant,
+}
+
+impl BreakOff {
+    pub(crate) fn new(engine: &Target) -> Self {
+        let (engine, incarnation) = (engine.info.id.clone(), engine.info.incarnation);
+        Self { engine, incarnation, doubted_until: Instant::now() + RESTART_NOTICE }
+    }
+
+    fn concerns(&self, target: &Target) -> bool {
+        self.engine == target.info.id
+            && self.incarnation == target.info.incarnation
+            && Instant::now() < self.doubted_until
+    }
+}
+
 /// How the wait for a slot at an engine with one version of the software ended.
 #[derive(Debug)]
 pub(crate) enum SlotWait {
@@ -61,14 +94,14 @@
     /// Waits for a slot at an engine that may run the item; `None` if this
     /// process no longer owns the partition.
     ///
-    /// An engine in `failed` is only used if there is no other. With `software`,
-    /// only engines with that version of the software are used.
+    /// An engine in `failed` is only used if there is no other. With `origin`, only
+    /// engines that may go on with the text are used.
     pub(crate) async fn wait_for_slot(
         &self,
         index: u32,
         preferred: Option<&str>,
         failed: &[TargetId],
-        software: Option<&Software>,
+        origin: Option<TextOrigin<'_>>,
     ) -> Option<Slot> {
         let log_wait_at = Instant::now() + WAIT_LOG_INTERVAL;
         loop {
@@ -78,16 +111,16 @@
             let freed = self.app.state.slot_freed.notified();
             let mut freed = std::pin::pin!(freed);
             freed.as_mut().enable();
-            let has_software = |target: &Target| has_software(target, software);
+            let may_go_on = |target: &Target| may_go_on(target, origin);
             let is_allowed =
-                |target: &Target| has_software(target) && !failed.contains(&target.info.id);
+                |target: &Target| may_go_on(target) && !failed.contains(&target.info.id);
             let preference = if self.item(index).expected_output >= self.long_item_tokens {
                 SlotPreference::Fastest
             } else {
                 SlotPreference::Target(preferred)
             };
             let engine = self.claim_free_slot(index, preference, is_allowed);
-            let engine = engine.or_else(|| self.claim_failed_engine(index, failed, software));
+            let engine = engine.or_else(|| self.claim_failed_engine(index, failed, origin));
             if let Some(engine) = engine {
                 return Some(Slot::new(Arc::clone(&self.app), engine));
             }
@@ -128,20 +161,20 @@
         &self,
         index: u32,
         failed: &[TargetId],
-        software: &Software,
+        origin: TextOrigin<'_>,
         deadline: Instant,
     ) -> SlotWait {
         if Instant::now() >= deadline {
             return SlotWait::NoEngine;
         }
-        let slot = self.wait_for_slot(index, None, failed, Some(software));
+        let slot = self.wait_for_slot(index, None, failed, Some(origin));
         tokio::select! {
             slot = timeout_at(deadline.into(), slot) => match slot {
                 Ok(Some(slot)) => SlotWait::Slot(slot),
                 Ok(None) => SlotWait::PartitionLost,
                 Err(_) => SlotWait::NoEngine,
             },
-            () = self.wait_until_none_open(index, software) => SlotWait::NoEngine,
+            () = self.wait_until_none_open(index, origin.software) => SlotWait::NoEngine,
         }
     }
 
@@ -170,17 +203,17 @@
         &self,
         index: u32,
         failed: &[TargetId],
-        software: Option<&Software>,
+        origin: Option<TextOrigin<'_>>,
     ) -> Option<InFlight> {
         if failed.is_empty() {
             return None;
         }
         let kind = self.target_kind(index)?;
         let targets = self.app.state.targets.load();
-        let is_candidate = |target: &Target| target.is_open() && has_software(target, software);
+        let is_candidate = |target: &Target| target.is_open() && may_go_on(target, origin);
         let mut open = targets.of_kind(&kind).iter().filter(|target| is_candidate(target));
         if open.all(|target| failed.contains(&target.info.id)) {
-            let is_allowed = |target: &Target| has_software(target, software);
+            let is_allowed = |target: &Target| may_go_on(target, origin);
             return self.claim_free_slot(index, SlotPreference::Target(None), is_allowed);
         }
         None
@@ -241,6 +274,9 @@
     }
 }
 
-fn has_software(target: &Target, software: Option<&Software>) -> bool {
-    software.is_none_or(|software| target.info.software == *software)
+fn may_go_on(target: &Target, origin: Option<TextOrigin<'_>>) -> bool {
+    origin.is_none_or(|origin| {
+        target.info.software == *origin.software
+            && !origin.break_off.is_some_and(|break_off| break_off.concerns(target))
+    })
 }
