--- a/crates/serve/src/slot.rs
+++ b/crates/serve/src/slot.rs
@@ -4,13 +4,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_ids::Software;
 use cassia_ids::TargetId;
 use cassia_jobs::Job;
 use cassia_route::InFlight;
 use cassia_route::SlotPreference;
 use cassia_route::Target;
 use cassia_route::TargetKind;
+use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::app::App;
 use crate::item::JobContext;
@@ -22,6 +25,8 @@
 /// partition may be for its items to go on at once. It is less than the time
 /// in which the end of a job takes effect.
 const MAX_READ_AGE: Duration = Duration::from_secs(2);
+/// Time in which an engine that restarted is in the list again, and read.
+const RESTART_NOTICE: Duration = Duration::from_millis(1_500);
 /// How long an item waits for a slot before that is logged, and how often it
 /// is logged again.
 const WAIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -34,6 +39,48 @@
     pub(crate) engine: Option<InFlight>,
 }
 
+/// What began a text that is to go on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TextOrigin<'a> {
+    /// Version of the software.
+    pub(crate) software: &'a Software,
+    /// The engine at which it broke off last.
+    pub(crate) break_off: Option<&'a BreakOff>,
+}
+
+/// The engine at which a run broke off. It may have restarted with another version
+/// of its software, which its next entry in the list will name.
+#[derive(Debug)]
+pub(crate) struct BreakOff {
+    engine: TargetId,
+    incarnation: u64,
+    doubted_until: Instant,
+}
+
+impl BreakOff {
+    pub(crate) fn new(engine: &Target) -> Self {
+        let (engine, incarnation) = (engine.info.id.clone(), engine.info.incarnation);
+        Self { engine, incarnation, doubted_until: Instant::now() + RESTART_NOTICE }
+    }
+
+    fn concerns(&self, target: &Target) -> bool {
+        self.engine == target.info.id
+            && self.incarnation == target.info.incarnation
+            && Instant::now() < self.doubted_until
+    }
+}
+
+/// How the wait for a slot at an engine with one version of the software ended.
+#[derive(Debug)]
+pub(crate) enum SlotWait {
+    /// With a slot.
+    Slot(Slot),
+    /// This process no longer owns the partition.
+    PartitionLost,
+    /// No such engine is open, or none had a free slot in time.
+    NoEngine,
+}
+
 impl Slot {
     fn new(app: Arc<App>, engine: InFlight) -> Self {
         Self { app, engine: Some(engine) }
@@ -72,12 +119,14 @@
     /// Waits for a slot at an engine that may run the item; `None` if this
     /// process no longer owns the partition.
     ///
-    /// An engine in `failed` is only used if there is no other.
+    /// An engine in `failed` is only used if there is no other. With `origin`, only
+    /// engines that may go on with the text are used.
     pub(crate) async fn wait_for_slot(
         &self,
         index: u32,
         preferred: Option<&str>,
         failed: &[TargetId],
+        origin: Option<TextOrigin<'_>>,
     ) -> Option<Slot> {
         let log_wait_at = Instant::now() + WAIT_LOG_INTERVAL;
         loop {
@@ -87,14 +136,16 @@
             let freed = self.app.state.slot_freed.notified();
             let mut freed = std::pin::pin!(freed);
             freed.as_mut().enable();
-            let is_allowed = |target: &Target| !failed.contains(&target.info.id);
+            let may_go_on = |target: &Target| may_go_on(target, origin);
+            let is_allowed =
+                |target: &Target| may_go_on(target) && !failed.contains(&target.info.id);
             let preference = if self.item(index).expected_output >= self.long_item_tokens {
                 SlotPreference::Fastest
             } else {
                 SlotPreference::Target(preferred)
             };
             let engine = self.claim_free_slot(index, preference, is_allowed);
-            let engine = engine.or_else(|| self.claim_failed_engine(index, failed));
+            let engine = engine.or_else(|| self.claim_failed_engine(index, failed, origin));
             if let Some(engine) = engine {
                 return Some(Slot::new(Arc::clone(&self.app), engine));
             }
@@ -129,16 +180,66 @@
         log::info!(event = "items_wait", step = "choose", id, job, min_version, engines, fit = eligible, may_begin; "no free slot at an engine with a new enough version, or the partition is not read");
     }
 
-    /// Claims a free slot at any engine if all engines have failed the item.
-    fn claim_failed_engine(&self, index: u32, failed: &[TargetId]) -> Option<InFlight> {
+    /// Waits for a slot at an engine with this version of the software, until
+    /// `deadline` or until none with it is open.
+    pub(crate) async fn wait_for_slot_with_software(
+        &self,
+        index: u32,
+        failed: &[TargetId],
+        origin: TextOrigin<'_>,
+        deadline: Instant,
+    ) -> SlotWait {
+        if Instant::now() >= deadline {
+            return SlotWait::NoEngine;
+        }
+        let slot = self.wait_for_slot(index, None, failed, Some(origin));
+        tokio::select! {
+            slot = timeout_at(deadline.into(), slot) => match slot {
+                Ok(Some(slot)) => SlotWait::Slot(slot),
+                Ok(None) => SlotWait::PartitionLost,
+                Err(_) => SlotWait::NoEngine,
+            },
+            () = self.wait_until_none_open(index, origin.software) => SlotWait::NoEngine,
+        }
+    }
+
+    /// Waits until no engine with this version of the software is open.
+    async fn wait_until_none_open(&self, index: u32, software: &Software) {
+        while self.has_open_engine(index, software) {
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    fn has_open_engine(&self, index: u32, software: &Software) -> bool {
+        let Some(route) = self.find_route(&self.submission.host, &self.item(index).path) else {
+            return true;
+        };
+        let targets = self.app.state.targets.load();
+        route.split.iter().any(|(name, _)| {
+            let kind = TargetKind::Service { name: name.clone() };
+            let mut engines = targets.of_kind(&kind).iter();
+            engines.any(|target| target.is_open() && target.info.software == *software)
+        })
+    }
+
+    /// Claims a free slot at any engine if all engines with this version of the
+    /// software have failed the item.
+    fn claim_failed_engine(
+        &self,
+        index: u32,
+        failed: &[TargetId],
+        origin: Option<TextOrigin<'_>>,
+    ) -> Option<InFlight> {
         if failed.is_empty() {
             return None;
         }
         let kind = self.target_kind(index)?;
         let targets = self.app.state.targets.load();
-        let mut open = targets.of_kind(&kind).iter().filter(|target| target.is_open());
+        let is_candidate = |target: &Target| target.is_open() && may_go_on(target, origin);
+        let mut open = targets.of_kind(&kind).iter().filter(|target| is_candidate(target));
         if open.all(|target| failed.contains(&target.info.id)) {
-            return self.claim_free_slot(index, SlotPreference::Target(None), |_| true);
+            let is_allowed = |target: &Target| may_go_on(target, origin);
+            return self.claim_free_slot(index, SlotPreference::Target(None), is_allowed);
         }
         None
     }
@@ -200,3 +301,10 @@
         free.map(|target| target.info.slots.saturating_sub(target.load())).sum()
     }
 }
+
+fn may_go_on(target: &Target, origin: Option<TextOrigin<'_>>) -> bool {
+    origin.is_none_or(|origin| {
+        target.info.software == *origin.software
+            && !origin.break_off.is_some_and(|break_off| break_off.concerns(target))
+    })
+}
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -18,6 +18,7 @@
 use cassia_route::Choice;
 use cassia_route::InFlight;
 use cassia_route::Route;
+use cassia_route::RouteKind;
 use cassia_route::TargetKind;
 use cassia_route::TargetQuery;
 use http::Response;
@@ -30,11 +31,13 @@
 use crate::call::OutgoingRequest;
 use crate::call::drop_misaligned;
 use crate::call::is_answer_to;
+use crate::call::log_attempt;
 use crate::call::record_load;
 use crate::exposure;
 use crate::exposure::Unanswered;
 use crate::response::Body;
 use crate::response::Refusal;
+use crate::resume;
 use crate::target_clients::Repeats;
 
 /// Handles a caller's request whose response is a stream.
@@ -48,9 +51,16 @@
     route: &Route,
     outgoing: &OutgoingRequest,
 ) -> Response<Body> {
-    let Some(service) = route.pick_service(rand::random()).cloned() else {
-        return Refusal::NoTarget.response("choose");
+    let origin = match resume::find_origin(app, head, route).await {
+        Ok(origin) => origin,
+        Err(refusal) => {
+            let (id, kind) = (head.id.as_str(), refusal.kind());
+            log::info!(event = "request_refused", step = "resume", id, kind; "not forwarded");
+            return refusal.response("resume");
+        }
     };
+    let (service, software) = (origin.service, origin.software);
+    let is_resumable = route.kind == RouteKind::Stream { resumable: true };
     let kind = TargetKind::Service { name: service };
     let caller_deadline = Instant::now() + head.timeout.unwrap_or_else(|| route.timeout());
     let deadline = caller_deadline.min(Instant::now() + route.timeout());
@@ -63,6 +73,7 @@
         }
         let mut query = TargetQuery::new(&kind);
         query.tried = &tried;
+        query.software = software.as_deref();
         query.preferred_data_centre = Some(&app.state.data_centre);
         let targets = app.state.targets.load_full();
         targets.record_demand(&kind);
@@ -82,6 +93,7 @@
         }
         let Some(in_flight) = targets.start_request(&target, Instant::now()) else { continue };
         tried.push(in_flight.target().info.id.clone());
+        log_attempt(app, &head.id, &in_flight, u32::try_from(tried.len()).unwrap_or(u32::MAX));
         let caller_timeout = caller_deadline.saturating_duration_since(Instant::now());
         let info = &in_flight.target().info;
         let request = target_request(
@@ -106,6 +118,9 @@
                 }
                 record_load(app, &in_flight, &response_head);
                 if !response_head.not_run {
+                    if response.status().is_success() && is_resumable {
+                        app.streams.begin(head, in_flight.target());
+                    }
                     return forward_response(app, head.id.clone(), digest, response, in_flight);
                 }
             }
