Serve: a text is begun anew only where another software version could generate it

Found by reading the merged change: a text that made no progress for 3 s was thrown away although all engines that are open have the version that began it. Beside full or refusing engines that is generated twice, and nothing is gained. It waits now; only an open engine with another version ends the wait, after 3 s or as soon as none with its own version is open.

--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -47,7 +47,7 @@
 /// Maximum number of times that an item moves to a faster engine.
 const MAX_MOVES: u32 = 3;
 /// How long a text that makes no progress waits for engines with the version of the
-/// software that began it, before it begins anew at any engine.
+/// software that began it, before it begins anew at another version.
 const SOFTWARE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay while an item or its reward call has no route, or its route no service.
 const NO_ROUTE_DELAY: Duration = Duration::from_millis(300);
--- a/crates/serve/src/slot.rs
+++ b/crates/serve/src/slot.rs
@@ -13,7 +13,6 @@
 use cassia_route::TargetKind;
 use tokio::time::sleep;
 use tokio::time::timeout;
-use tokio::time::timeout_at;
 
 use crate::app::App;
 use crate::item::JobContext;
@@ -77,7 +76,8 @@
     Slot(Slot),
     /// This process no longer owns the partition.
     PartitionLost,
-    /// No such engine is open, or none had a free slot in time.
+    /// No such engine is open, or none had a free slot in time, and engines with
+    /// another version are open.
     NoEngine,
 }
 
@@ -180,8 +180,9 @@
         log::info!(event = "items_wait", step = "choose", id, job, min_version, engines, fit = eligible, may_begin; "no free slot at an engine with a new enough version, or the partition is not read");
     }
 
-    /// Waits for a slot at an engine with this version of the software, until
-    /// `deadline` or until none with it is open.
+    /// Waits for a slot at an engine with the version of the software that began a
+    /// text. Where engines with another version are open, it waits until `deadline`,
+    /// or until none with this one is open.
     pub(crate) async fn wait_for_slot_with_software(
         &self,
         index: u32,
@@ -189,36 +190,36 @@
         origin: TextOrigin<'_>,
         deadline: Instant,
     ) -> SlotWait {
-        if Instant::now() >= deadline {
-            return SlotWait::NoEngine;
-        }
-        let slot = self.wait_for_slot(index, None, failed, Some(origin));
         tokio::select! {
-            slot = timeout_at(deadline.into(), slot) => match slot {
-                Ok(Some(slot)) => SlotWait::Slot(slot),
-                Ok(None) => SlotWait::PartitionLost,
-                Err(_) => SlotWait::NoEngine,
-            },
-            () = self.wait_until_none_open(index, origin.software) => SlotWait::NoEngine,
+            slot = self.wait_for_slot(index, None, failed, Some(origin)) => {
+                slot.map_or(SlotWait::PartitionLost, SlotWait::Slot)
+            }
+            () = self.wait_until_given_up(index, origin.software, deadline) => SlotWait::NoEngine,
         }
     }
 
-    /// Waits until no engine with this version of the software is open.
-    async fn wait_until_none_open(&self, index: u32, software: &Software) {
-        while self.has_open_engine(index, software) {
+    /// Waits until it is better to begin a text anew at another version of the
+    /// software than to wait for this one.
+    async fn wait_until_given_up(&self, index: u32, software: &Software, deadline: Instant) {
+        loop {
+            let has_other = self.has_open_engine(index, |version| version != software);
+            let is_gone = !self.has_open_engine(index, |version| version == software);
+            if has_other && (is_gone || Instant::now() >= deadline) {
+                return;
+            }
             sleep(POLL_INTERVAL).await;
         }
     }
 
-    fn has_open_engine(&self, index: u32, software: &Software) -> bool {
+    fn has_open_engine(&self, index: u32, is_meant: impl Fn(&Software) -> bool) -> bool {
         let Some(route) = self.find_route(&self.submission.host, &self.item(index).path) else {
-            return true;
+            return false;
         };
         let targets = self.app.state.targets.load();
         route.split.iter().any(|(name, _)| {
             let kind = TargetKind::Service { name: name.clone() };
             let mut engines = targets.of_kind(&kind).iter();
-            engines.any(|target| target.is_open() && target.info.software == *software)
+            engines.any(|target| target.is_open() && is_meant(&target.info.software))
         })
     }
 
--- a/crates/trials/tests/platform_software_versions.rs
+++ b/crates/trials/tests/platform_software_versions.rs
@@ -6,6 +6,7 @@
 
 use anyhow::Context;
 use cassia_standin::Proxy;
+use cassia_standin::ResponseFault;
 use cassia_standin::TargetFaults;
 use cassia_trials::PARTITIONS;
 use cassia_trials::PlatformEnv;
@@ -114,6 +115,29 @@
     Ok(())
 }
 
+/// Guards against work that is done twice: a text that waits for an engine begins
+/// anew only where another version could generate it.
+#[tokio::test]
+async fn an_item_keeps_its_text_while_a_single_version_serves() -> anyhow::Result<()> {
+    const FEW: usize = 4;
+    let mut env = env_without_engines().await?;
+    let engine = env.add_engine_with_software("a1", EVENTS, "v2").await?;
+    engine.set_faults(TargetFaults { reset_after_events: Some(2), ..TargetFaults::default() });
+    let processes = start_processes(&env, 1).await?;
+    assert_eq!(env.submit_job(&processes[0].1, "j", &batch_job("j", FEW, 1)).await.status, 202);
+    let begun = || async { engine.runs().len() >= FEW && engine.running().is_empty() };
+    anyhow::ensure!(eventually(begun).await, "the items don't run");
+    engine.set_faults(TargetFaults { response: ResponseFault::Busy, ..TargetFaults::default() });
+    // Longer than a text waits where another version serves.
+    sleep(Duration::from_millis(4_500)).await;
+    engine.set_faults(TargetFaults::default());
+    let results = env.all_results(&processes[0].1, "j").await.context("results")?;
+    assert_not_mixed(&results, FEW);
+    let from_the_start = engine.runs().iter().filter(|run| run.last_event_id.is_none()).count();
+    assert_eq!(from_the_start, FEW, "runs from the first event on");
+    Ok(())
+}
+
 /// Guards against ORDER: a text that one process stored and another went on with
 /// at another software version.
 #[tokio::test]
