--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -3,8 +3,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -41,6 +39,7 @@
 use crate::slot::SlotWait;
 use crate::slot::TextOrigin;
 use crate::state::lock;
+use crate::token_time::TokenTime;
 
 /// One in this many items of a job, the longest ones, counts as long.
 const LONG_ITEM_DIVISOR: usize = 4;
@@ -93,31 +92,6 @@
     progress: Mutex<HashMap<u32, ItemProgress>>,
 }
 
-/// Total time and number of expected tokens of the completed items.
-#[derive(Debug, Default)]
-pub(crate) struct TokenTime {
-    micros: AtomicU64,
-    tokens: AtomicU64,
-}
-
-impl TokenTime {
-    fn record(&self, took: Duration, tokens: u64) {
-        self.micros.fetch_add(micros(took), Ordering::Relaxed);
-        self.tokens.fetch_add(tokens, Ordering::Relaxed);
-    }
-
-    /// Estimates the time per token. `prior`, a time and the number of tokens
-    /// generated in it, counts as much as `weight` completed items.
-    pub(crate) fn micros_per_token(&self, prior: (Duration, u64), weight: u64) -> u64 {
-        let measured = (self.micros.load(Ordering::Relaxed), self.tokens.load(Ordering::Relaxed));
-        (measured.0 + weight * micros(prior.0)) / (measured.1 + weight * prior.1).max(1)
-    }
-}
-
-fn micros(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
-}
-
 /// The outcome of an item.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ItemOutcome {
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -30,6 +30,7 @@
 mod submit;
 mod target_clients;
 mod targets;
+mod token_time;
 mod weights;
 
 use std::process::ExitCode;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -22,9 +22,10 @@
 use tokio::time::sleep;
 
 use crate::Handler;
-use crate::RefusalKind;
+use crate::ReceivedOrder;
 use crate::RepeatedReply;
 use crate::Reply;
+use crate::RequestRun;
 use crate::ResponseFault;
 use crate::Server;
 use crate::StoreStandin;
@@ -40,36 +41,6 @@
 /// Time from an accepted order until its version is active.
 const LOAD_TIME: Duration = Duration::from_millis(80);
 
-/// A request that ran on a target.
-#[derive(Clone, Debug)]
-pub struct RequestRun {
-    /// Id of the attempt.
-    pub id: String,
-    /// Path, with the query.
-    pub path: String,
-    /// When it started.
-    pub started: Instant,
-    /// How long its sender waits, as its header says.
-    pub timeout_ms: Option<u64>,
-    /// Id of the event after which the stream resumed.
-    pub last_event_id: Option<u64>,
-}
-
-/// An order that an engine received, whether it accepted it or not.
-#[derive(Clone, Debug)]
-pub struct ReceivedOrder {
-    /// The lease holder that sent it.
-    pub holder: String,
-    /// The holder's fencing token.
-    pub fence: u64,
-    /// The version to load.
-    pub version: u64,
-    /// When it arrived.
-    pub received: Instant,
-    /// Id of the engine.
-    pub engine: String,
-}
-
 /// A running target.
 #[derive(Debug)]
 pub struct TargetStandin {
@@ -391,7 +362,7 @@
         let arrived = lock(&self.state).count_arrival();
         let refused = faults.refuse_every.is_some_and(|every| arrived.is_multiple_of(every));
         if refused || faults.response == ResponseFault::Busy {
-            return refusal(faults.refusal, id);
+            return faults.refusal.reply(id);
         }
         let last_event_id = number("last-event-id");
         let run = self.start_run(RequestRun {
@@ -526,17 +497,3 @@
         if repeated == Some(kind) { Reply::Twice(Box::new(reply)) } else { reply }
     }
 }
-
-/// Returns the reply to a request that did not run.
-fn refusal(kind: RefusalKind, id: String) -> Reply {
-    let not_run = ("not-run", "1".to_owned());
-    match kind {
-        RefusalKind::Full => Reply::Bytes(503, vec![not_run], Bytes::new()),
-        RefusalKind::FullWithId => {
-            Reply::Bytes(503, vec![not_run, ("attempt-id", id)], Bytes::new())
-        }
-        RefusalKind::OtherTarget => {
-            Reply::Bytes(421, vec![("instance-id", "another".to_owned())], Bytes::new())
-        }
-    }
-}
--- a/crates/standin/src/target_faults.rs
+++ b/crates/standin/src/target_faults.rs
@@ -3,6 +3,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use bytes::Bytes;
+
+use crate::Reply;
+
 /// What is wrong with a target's responses to requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ResponseFault {
@@ -35,6 +39,20 @@
     OtherTarget,
 }
 
+impl RefusalKind {
+    /// Returns the reply to a request with this id.
+    pub(crate) fn reply(self, id: String) -> Reply {
+        let not_run = ("not-run", "1".to_owned());
+        match self {
+            Self::Full => Reply::Bytes(503, vec![not_run], Bytes::new()),
+            Self::FullWithId => Reply::Bytes(503, vec![not_run, ("attempt-id", id)], Bytes::new()),
+            Self::OtherTarget => {
+                Reply::Bytes(421, vec![("instance-id", "another".to_owned())], Bytes::new())
+            }
+        }
+    }
+}
+
 /// The replies that a target repeats.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RepeatedReply {
