Serve: refusals say how many targets are open and usable, failures how long they took

Observability for the hosts without targets: a refused request did not say whether targets were missing, full or out of reach.

--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -167,7 +167,8 @@
         }
         CallOutcome::Refused(refusal) => {
             let (kind, ran) = (refusal.kind(), refusal.ran());
-            log::info!(event = "request_refused", step = "call", id, route = name, kind, ran, took_ms, config; "no response of a target");
+            let (open, usable) = call.target_counts();
+            log::info!(event = "request_refused", step = "call", id, route = name, kind, ran, took_ms, config, open, usable; "no response of a target");
             app.metrics.count("request.refused", name);
             refusal.response("call")
         }
@@ -243,6 +244,15 @@
         attempts.into_outcome()
     }
 
+    /// Returns how many targets of the service are open, and how many of these
+    /// are not avoided.
+    fn target_counts(&self) -> (usize, usize) {
+        let kind = TargetKind::Service { name: self.service.clone() };
+        let targets = self.app.state.targets.load();
+        let open = targets.of_kind(&kind).iter().filter(|target| target.is_open()).count();
+        (open, targets.usable_count(&kind, |_| false, Instant::now()))
+    }
+
     fn repeats(&self) -> Repeats {
         match self.route.kind {
             RouteKind::Idempotent => Repeats::Allowed,
@@ -329,6 +339,7 @@
         let Ok(request) = request else {
             return AttemptOutcome::NotRun;
         };
+        let sent_at = Instant::now();
         let mut guard = UnansweredGuard::new(self.app, &in_flight, self.hedge_delay());
         // The caller of this function drops the future at the deadline: a
         // target that has not answered by then has not failed.
@@ -338,9 +349,9 @@
         match sent.await {
             Ok(response) => {
                 guard.mark_answered();
-                self.read_response(&in_flight, response).await
+                self.read_response(&in_flight, response, sent_at).await
             }
-            Err(e) => self.record_failure(&in_flight, &e),
+            Err(e) => self.record_failure(&in_flight, &e, sent_at),
         }
     }
 
@@ -348,6 +359,7 @@
         &self,
         in_flight: &InFlight,
         response: Response<Incoming>,
+        sent_at: Instant,
     ) -> AttemptOutcome {
         let info = &in_flight.target().info;
         let head = decode_response_head(response.status(), response.headers());
@@ -381,11 +393,17 @@
                 }
                 AttemptOutcome::Response(Box::new(TargetResponse { response, head }))
             }
-            Err(e) => self.record_failure(in_flight, &e),
+            Err(e) => self.record_failure(in_flight, &e, sent_at),
         }
     }
 
-    fn record_failure(&self, in_flight: &InFlight, e: &PlatformError) -> AttemptOutcome {
+    fn record_failure(
+        &self,
+        in_flight: &InFlight,
+        e: &PlatformError,
+        sent_at: Instant,
+    ) -> AttemptOutcome {
+        let took_ms = millis(sent_at.elapsed());
         let info = &in_flight.target().info;
         self.app.state.targets.load().record_failure(in_flight.target(), Instant::now());
         let (id, peer) = (self.id.as_str(), info.id.as_str());
@@ -393,7 +411,7 @@
             self.app.quarantine.record_crash(digest, in_flight.target());
         }
         let digest = self.digest.map(|digest| format!("{digest:032x}"));
-        log::info!(event = "attempt_failed", step = e.step, id, peer, digest; "{e}");
+        log::info!(event = "attempt_failed", step = e.step, id, peer, digest, took_ms; "{e}");
         match e.kind {
             ErrorKind::Connect => AttemptOutcome::Unreachable(info.id.clone()),
             _ => AttemptOutcome::Unknown,
