--- /dev/null
+++ b/crates/standin/src/link.rs
@@ -0,0 +1,183 @@
+//! The link of one host to one target, which can be cut.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener as StdListener;
+use std::time::Duration;
+
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+use tokio::io::copy_bidirectional;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// Time between two attempts to listen on the address again.
+const REBIND_INTERVAL: Duration = Duration::from_millis(5);
+/// How long a connection that fills the queue of a listener may take.
+const FILL_TIMEOUT: Duration = Duration::from_millis(50);
+/// Number of connections that fill the queue of a listener without a backlog.
+const FILL_COUNT: usize = 3;
+
+/// What becomes of a link's connections while it is cut.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkCut {
+    /// Present connections forward nothing more, and new ones are not established.
+    Hang,
+    /// Present connections are closed, and new ones are refused.
+    Refuse,
+    /// Present connections live on, and new ones are refused.
+    RefuseNew,
+}
+
+/// What a link does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    Up,
+    Cut(LinkCut),
+}
+
+/// A link: it forwards connections to a target, unless it is cut. It ends when
+/// dropped.
+#[derive(Debug)]
+pub struct Link {
+    addr: SocketAddr,
+    state: watch::Sender<State>,
+    task: JoinHandle<()>,
+}
+
+impl Link {
+    /// Starts a link at an address, whose port nothing else may take while the link
+    /// is cut.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn start(addr: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr).await?;
+        let (state, rx) = watch::channel(State::Up);
+        let task = tokio::spawn(run(listener, addr, target, rx));
+        Ok(Self { addr, state, task })
+    }
+
+    /// Returns the address at which the host reaches the target.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Cuts the link.
+    pub fn cut(&self, cut: LinkCut) {
+        self.state.send_replace(State::Cut(cut));
+    }
+
+    /// Ends the cut.
+    pub fn heal(&self) {
+        self.state.send_replace(State::Up);
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn run(
+    first: TcpListener,
+    addr: SocketAddr,
+    target: SocketAddr,
+    mut state: watch::Receiver<State>,
+) {
+    let mut listener = Some(first);
+    loop {
+        let now = *state.borrow_and_update();
+        match now {
+            State::Up => {
+                let up = match listener.take() {
+                    Some(up) => up,
+                    None => rebind(addr).await,
+                };
+                let seen = state.clone();
+                tokio::select! {
+                    () = accept(&up, target, &seen) => {}
+                    changed = state.changed() => if changed.is_err() { return },
+                }
+            }
+            State::Cut(cut) => {
+                listener = None;
+                let full = if cut == LinkCut::Hang { listen_full(addr).await } else { None };
+                let ended = state.changed().await.is_err();
+                drop(full);
+                if ended {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn rebind(addr: SocketAddr) -> TcpListener {
+    loop {
+        if let Ok(listener) = TcpListener::bind(addr).await {
+            return listener;
+        }
+        sleep(REBIND_INTERVAL).await;
+    }
+}
+
+/// Listens without accepting, with a full queue, so that further connections are
+/// not established; returns what keeps it so.
+async fn listen_full(addr: SocketAddr) -> Option<(StdListener, Vec<TcpStream>)> {
+    let listener = loop {
+        match bind_without_backlog(addr) {
+            Ok(listener) => break listener,
+            Err(_) => sleep(REBIND_INTERVAL).await,
+        }
+    };
+    let mut fillers = Vec::new();
+    for _ in 0..FILL_COUNT {
+        if let Ok(Ok(filler)) = timeout(FILL_TIMEOUT, TcpStream::connect(addr)).await {
+            fillers.push(filler);
+        }
+    }
+    Some((listener, fillers))
+}
+
+fn bind_without_backlog(addr: SocketAddr) -> io::Result<StdListener> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(0)?;
+    Ok(socket.into())
+}
+
+async fn accept(listener: &TcpListener, target: SocketAddr, state: &watch::Receiver<State>) {
+    loop {
+        if let Ok((client, _)) = listener.accept().await {
+            tokio::spawn(forward(client, target, state.clone()));
+        }
+    }
+}
+
+/// Forwards a connection until either end closes it or the link is cut.
+async fn forward(mut client: TcpStream, target: SocketAddr, mut state: watch::Receiver<State>) {
+    let Ok(mut server) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    let ends = |state: &State| matches!(state, State::Cut(LinkCut::Hang | LinkCut::Refuse));
+    let cut = tokio::select! {
+        _ = copy_bidirectional(&mut client, &mut server) => return,
+        cut = state.wait_for(ends) => cut.ok().map(|state| *state),
+    };
+    if cut == Some(State::Cut(LinkCut::Hang)) {
+        // Both ends stay open for as long as either keeps them.
+        let up = |state: &State| *state == State::Up;
+        let _ = state.wait_for(up).await;
+    }
+}
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -29,6 +29,7 @@
 use crate::Reply;
 use crate::Server;
 use crate::server::lock;
+use crate::store_view::StoreView;
 
 /// The faults to inject into the store.
 #[derive(Clone, Debug, Default)]
@@ -174,6 +175,17 @@
         }
     }
 
+    /// Starts a server of the same store, whose list of targets has these addresses
+    /// by the targets' ids.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start_view(&self, addrs: BTreeMap<String, SocketAddr>) -> io::Result<Server> {
+        let view = StoreView::new(Arc::new(Arc::clone(&self.shared)), addrs);
+        Server::start(Arc::new(view)).await
+    }
+
     /// Returns the group member that owns a partition.
     #[must_use]
     pub fn owner(&self, group: &str, partition: u32) -> Option<String> {
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod caller;
 mod contracts;
+mod host_links;
 mod platform_client;
 mod platform_env;
 mod platform_steps;
@@ -31,6 +32,7 @@
 pub use crate::contracts::SAVANNA_KEY;
 pub use crate::contracts::leserbild;
 pub use crate::contracts::savanna;
+pub use crate::host_links::HostLinks;
 pub use crate::platform_client::Connections;
 pub use crate::platform_client::PlatformClient;
 pub use crate::platform_client::PlatformResponse;
