Serve: targets that a host's own link doesn't reach are reached through other hosts

Cause: a host's only way to a target was its own link. Class of fault: one path where several exist, and its loss taken for that of its end. Evidence: refusals without a target had three open targets of three and none usable; other hosts reached them at the same time.

Change: hosts announce themselves in a keyed topic. A new connection to a target is begun over the own link and, after 40 ms or a failure, through other hosts, up to eight, one after the other; the first that stands is used. The host that is asked only opens the connection and forwards bytes, so requests, deadlines, limits, cancelling and what may be sent again stay with the host that took the request, and nothing is sent twice. It serves known hosts only, targets of its own list only, that are open and of the named incarnation, over its own link only (no loops). A link that was lost is checked each second. An attempt that is a request's last uses an idle connection only if the target answered within two seconds: an idle one may be lost unnoticed.

The stand-in's link waits a second for its address: sockets of a test process live on in a process that it is just starting.

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -29,9 +29,11 @@
 use crate::ByteBudget;
 use crate::ErrorKind;
 use crate::PlatformError;
+use crate::Relay;
 use crate::Reservation;
 use crate::limited_stream::HeadLimit;
 use crate::limited_stream::LimitedConnector;
+use crate::path_connector::PathConnector;
 use crate::reuse::Attribution;
 use crate::reuse::Reuse;
 use crate::reuse::ReuseDecision;
@@ -78,6 +80,7 @@
     pools: ArcSwap<HashMap<SocketAddr, Arc<Pool>>>,
     budget: Arc<ByteBudget>,
     reuse: Reuse,
+    relay: Option<Arc<dyn Relay>>,
 }
 
 impl Default for HttpClient {
@@ -92,6 +95,7 @@
             .field("pools", &self.pools.load().len())
             .field("budget", &self.budget)
             .field("reuse", &self.reuse)
+            .field("relay", &self.relay)
             .finish()
     }
 }
@@ -101,7 +105,7 @@
     /// which several clients may share.
     #[must_use]
     pub fn new(budget: Arc<ByteBudget>) -> Self {
-        Self { pools: ArcSwap::default(), budget, reuse: Reuse::default() }
+        Self { pools: ArcSwap::default(), budget, reuse: Reuse::default(), relay: None }
     }
 
     /// Sets whether connections are used again.
@@ -111,6 +115,13 @@
         self
     }
 
+    /// Sets the way to peers that this host's own link doesn't reach.
+    #[must_use]
+    pub fn with_relay(mut self, relay: Arc<dyn Relay>) -> Self {
+        self.relay = Some(relay);
+        self
+    }
+
     /// Returns the size of the largest body that is read, in bytes.
     fn max_response_bytes(&self) -> usize {
         self.budget.limit() / MAX_RESPONSE_DIVISOR
@@ -318,7 +329,8 @@
         if let Some(pool) = self.pools.load().get(&peer) {
             return Arc::clone(pool);
         }
-        let new = Arc::new(new_pool(self.max_response_bytes(), self.reuse));
+        let new = new_pool(self.max_response_bytes(), self.reuse, self.relay.clone());
+        let new = Arc::new(new);
         self.pools.rcu(|pools| {
             let mut pools = HashMap::clone(pools);
             pools.entry(peer).or_insert_with(|| Arc::clone(&new));
@@ -328,7 +340,7 @@
     }
 }
 
-fn new_pool(max_response_bytes: usize, reuse: Reuse) -> Pool {
+fn new_pool(max_response_bytes: usize, reuse: Reuse, relay: Option<Arc<dyn Relay>>) -> Pool {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
@@ -336,6 +348,7 @@
     connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
     connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
     connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    let connector = PathConnector::new(connector, relay);
     // If a pooled connection closes before the request is sent, the client
     // sends it on a new one; it never repeats a request that was sent.
     let mut builder = Client::builder(TokioExecutor::new());
--- a/crates/clients/src/limited_stream.rs
+++ b/crates/clients/src/limited_stream.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpStream;
 use tower_service::Service;
 
+use crate::path_connector::PathConnector;
 use crate::reuse::Retired;
 
 /// How many bytes a connection may still read until the head of a response is
@@ -78,7 +79,7 @@
 /// Opens connections with a limit.
 #[derive(Clone, Debug)]
 pub(crate) struct LimitedConnector {
-    connector: HttpConnector,
+    connector: PathConnector,
     max_bytes: usize,
     max_bytes_of_reused: usize,
 }
@@ -87,7 +88,7 @@
     /// Creates a connector whose connections read this many bytes to the first
     /// head, and to later ones.
     pub(crate) fn new(
-        connector: HttpConnector,
+        connector: PathConnector,
         max_bytes: usize,
         max_bytes_of_reused: usize,
     ) -> Self {
@@ -101,14 +102,14 @@
     type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
 
     fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
-        Service::<Uri>::poll_ready(&mut self.connector, cx)
+        self.connector.poll_ready(cx)
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
         let limit = HeadLimit::new(self.max_bytes, self.max_bytes_of_reused);
-        let connecting = self.connector.call(uri);
+        let connecting = self.connector.connect(uri);
         async move {
-            let stream = connecting.await?.into_inner();
+            let stream = connecting.await?;
             Ok(TokioIo::new(LimitedStream { stream, limit }))
         }
         .boxed()
--- /dev/null
+++ b/crates/clients/src/path_connector.rs
@@ -0,0 +1,125 @@
+//! Connections over this host's own link or through another host, whichever is
+//! established first.
+
+use std::fmt::Debug;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use cassia_relay::ConnectPlan;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Uri;
+use hyper_util::client::legacy::connect::HttpConnector;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tower_service::Service;
+
+/// How long the preferred way has before the other one is begun too.
+const HEAD_START: Duration = Duration::from_millis(40);
+
+/// Opens connections through other hosts.
+#[async_trait]
+pub trait Relay: Debug + Send + Sync {
+    /// Returns how to begin a new connection.
+    fn plan(&self, peer: SocketAddr) -> ConnectPlan;
+
+    /// Opens a connection through another host.
+    ///
+    /// # Errors
+    ///
+    /// No host that was asked made the connection in time.
+    async fn open(&self, peer: SocketAddr) -> io::Result<TcpStream>;
+
+    /// Records that a connection over this host's own link was established.
+    fn record_direct(&self, peer: SocketAddr);
+
+    /// Records that a connection through another host was established, and one over
+    /// the own link was not.
+    fn record_relayed(&self, peer: SocketAddr);
+}
+
+type ConnectError = <HttpConnector as Service<Uri>>::Error;
+
+/// Opens connections over the own link, or with a relay whichever way works.
+#[derive(Clone, Debug)]
+pub(crate) struct PathConnector {
+    connector: HttpConnector,
+    relay: Option<Arc<dyn Relay>>,
+}
+
+impl PathConnector {
+    pub(crate) fn new(connector: HttpConnector, relay: Option<Arc<dyn Relay>>) -> Self {
+        Self { connector, relay }
+    }
+
+    pub(crate) fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), ConnectError>> {
+        Service::<Uri>::poll_ready(&mut self.connector, cx)
+    }
+
+    /// Opens a connection to the address in a URI.
+    pub(crate) fn connect(
+        &mut self,
+        uri: Uri,
+    ) -> BoxFuture<'static, Result<TcpStream, ConnectError>> {
+        let peer = uri.authority().and_then(|authority| authority.as_str().parse().ok());
+        let connecting = self.connector.call(uri);
+        let direct = async move { connecting.await.map(hyper_util::rt::TokioIo::into_inner) };
+        match (self.relay.clone(), peer) {
+            (Some(relay), Some(peer)) => race(direct.boxed(), relay, peer).boxed(),
+            _ => direct.boxed(),
+        }
+    }
+}
+
+/// Returns the first connection that is established. Nothing is sent on the other.
+async fn race(
+    direct: BoxFuture<'static, Result<TcpStream, ConnectError>>,
+    relay: Arc<dyn Relay>,
+    peer: SocketAddr,
+) -> Result<TcpStream, ConnectError> {
+    let plan = relay.plan(peer);
+    let direct_start = async {
+        if plan == ConnectPlan::RelayFirst {
+            sleep(HEAD_START).await;
+        }
+        direct.await
+    };
+    let mut direct = std::pin::pin!(direct_start);
+    let mut relay_delay =
+        if plan == ConnectPlan::DirectFirst { HEAD_START } else { Duration::ZERO };
+    let mut failed = None;
+    // At most three rounds: the delay ends, one way fails, the other one ends.
+    let mut relayed = relay.open(peer);
+    let mut is_open_failed = false;
+    loop {
+        tokio::select! {
+            connected = direct.as_mut(), if failed.is_none() => match connected {
+                Ok(stream) => {
+                    relay.record_direct(peer);
+                    return Ok(stream);
+                }
+                Err(e) if is_open_failed => return Err(e),
+                Err(e) => {
+                    relay_delay = Duration::ZERO;
+                    failed = Some(e);
+                }
+            },
+            () = sleep(relay_delay), if !relay_delay.is_zero() => relay_delay = Duration::ZERO,
+            opened = relayed.as_mut(), if relay_delay.is_zero() && !is_open_failed => {
+                match (opened, failed.take()) {
+                    (Ok(stream), _) => {
+                        relay.record_relayed(peer);
+                        return Ok(stream);
+                    }
+                    (Err(_), Some(e)) => return Err(e),
+                    (Err(_), None) => is_open_failed = true,
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/message.rs
@@ -0,0 +1,64 @@
+//! What a host sends before a connection is forwarded, and what it announces.
+
+use bytes::Bytes;
+use prost::Enumeration;
+use prost::Message;
+
+/// Asks for a connection to a target.
+#[derive(Clone, Message, PartialEq)]
+pub struct RelayRequest {
+    /// Id of the target in the platform's list. The host that is asked takes the
+    /// address from its own copy of the list.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Incarnation of the target.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+}
+
+/// The response to a request for a connection.
+#[derive(Clone, Copy, Debug, Enumeration, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[repr(i32)]
+pub enum RelayReply {
+    /// The response can't be decoded.
+    Invalid = 0,
+    /// The connection stands. All further bytes are its bytes.
+    Connected = 1,
+    /// The host that was asked can't reach the target either.
+    Unreachable = 2,
+    /// The target is not in its list, or must get no new work.
+    NotListed = 3,
+    /// It forwards as many connections as it can, or is stopping.
+    Busy = 4,
+    /// It doesn't know the host that asks.
+    UnknownHost = 5,
+}
+
+#[derive(Clone, Message, PartialEq)]
+struct ReplyWire {
+    #[prost(enumeration = "RelayReply", tag = "1")]
+    reply: i32,
+}
+
+/// A message can't be decoded.
+#[derive(Clone, Debug, Eq, thiserror::Error, PartialEq)]
+#[error("message between hosts: {0}")]
+pub struct MessageError(String);
+
+impl RelayReply {
+    /// Encodes the reply.
+    #[must_use]
+    pub fn to_bytes(self) -> Bytes {
+        ReplyWire { reply: self.into() }.encode_to_vec().into()
+    }
+
+    /// Decodes a reply.
+    ///
+    /// # Errors
+    ///
+    /// The bytes can't be decoded.
+    pub fn decode(bytes: Bytes) -> Result<Self, MessageError> {
+        let wire = ReplyWire::decode(bytes).map_err(|e| MessageError(e.to_string()))?;
+        Ok(wire.reply())
+    }
+}
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -1,6 +1,7 @@
 //! What the tasks of the program share.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use cassia_clients::ByteBudget;
 use cassia_clients::Store;
@@ -11,8 +12,10 @@
 use crate::clock::BootClock;
 use crate::clock::Clock;
 use crate::flags::ServeSettings;
+use crate::hosts::ReadPosition;
 use crate::job_log::JobLog;
 use crate::quarantine::Quarantine;
+use crate::relay::HostRelay;
 use crate::resume::Streams;
 use crate::state::SharedState;
 use crate::target_clients::TargetClients;
@@ -24,6 +27,10 @@
     pub(crate) store: Arc<dyn Store>,
     /// Clients of the targets.
     pub(crate) clients: TargetClients,
+    /// The other hosts, and the links to the targets.
+    pub(crate) relay: Arc<HostRelay>,
+    /// How far the other hosts' announcements are read.
+    pub(crate) hosts_position: Mutex<ReadPosition>,
     pub(crate) clock: Box<dyn Clock>,
     pub(crate) job_log: JobLog,
     /// The requests under which targets crashed.
@@ -45,6 +52,7 @@
         response_budget: &Arc<ByteBudget>,
     ) -> Self {
         let page = MetricsPage::default();
+        let relay = Arc::new(HostRelay::new(settings));
         Self {
             state: SharedState::new(settings),
             job_log: JobLog::new(&store, settings.store_parts),
@@ -52,7 +60,9 @@
             streams: Streams::default(),
             body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
             store,
-            clients: TargetClients::new(response_budget),
+            clients: TargetClients::new(response_budget, &relay),
+            relay,
+            hosts_position: Mutex::default(),
             clock: Box::new(BootClock::new()),
             metrics: Metrics::to_page(&page),
             page,
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -45,7 +45,9 @@
 use crate::response::Body;
 use crate::response::Refusal;
 use crate::response::full_body;
+use crate::target_clients::Connections;
 use crate::target_clients::Repeats;
+use crate::target_clients::TargetAttempt;
 
 /// A second target is tried if the first one has not answered after this
 /// percentage of the route's latency objective.
@@ -195,7 +197,7 @@
             if running.is_empty() || attempts.start_another {
                 attempts.start_another = false;
                 if let Some(in_flight) = self.next_target(&mut attempts, running.len()).await {
-                    running.push(self.send(in_flight));
+                    running.push(self.send(in_flight, attempts.sent));
                 }
             }
             if running.is_empty() {
@@ -228,7 +230,9 @@
     async fn run_at_most_once(&self) -> CallOutcome {
         let mut attempts = Attempts::default();
         while let Some(in_flight) = self.next_target(&mut attempts, 0).await {
-            let outcome = tokio::time::timeout_at(self.deadline.into(), self.send(in_flight)).await;
+            let outcome =
+                tokio::time::timeout_at(self.deadline.into(), self.send(in_flight, attempts.sent))
+                    .await;
             match outcome {
                 Ok(AttemptOutcome::Response(resp)) => return CallOutcome::Response(resp),
                 Ok(outcome @ (AttemptOutcome::NotRun | AttemptOutcome::Unreachable(_))) => {
@@ -322,8 +326,18 @@
         }
     }
 
-    /// Sends the request to one target and reads its complete response.
-    async fn send(&self, in_flight: InFlight) -> AttemptOutcome {
+    /// Returns which connections an attempt may use; the first one is 1.
+    fn connections(&self, attempt: u32) -> Connections {
+        let has_next = attempt < self.route.max_attempts;
+        match self.repeats() {
+            Repeats::Allowed if attempt == 1 && has_next => Connections::Any,
+            _ => Connections::Proven,
+        }
+    }
+
+    /// Sends the request to one target and reads its complete response. `attempt`
+    /// counts from 1.
+    async fn send(&self, in_flight: InFlight, attempt: u32) -> AttemptOutcome {
         let info = &in_flight.target().info;
         let caller_timeout = self.caller_deadline.saturating_duration_since(Instant::now());
         let outgoing = &self.outgoing;
@@ -344,9 +358,14 @@
         // The caller of this function drops the future at the deadline: a
         // target that has not answered by then has not failed.
         let deadline = self.deadline + DEADLINE_SLACK;
-        let clients = &self.app.clients;
-        let sent = clients.send("call", self.repeats(), info.addr, self.id, request, deadline);
-        match sent.await {
+        let attempt = TargetAttempt {
+            step: "call",
+            addr: info.addr,
+            id: self.id,
+            repeats: self.repeats(),
+            connections: self.connections(attempt),
+        };
+        match self.app.clients.send(attempt, request, deadline).await {
             Ok(response) => {
                 guard.mark_answered();
                 self.read_response(&in_flight, response, sent_at).await
--- a/crates/serve/src/exposure.rs
+++ b/crates/serve/src/exposure.rs
@@ -13,9 +13,7 @@
 use cassia_route::Target;
 use cassia_route::TargetSet;
 use futures::future::join_all;
-use tokio::net::TcpStream;
 use tokio::time::sleep;
-use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::app::App;
@@ -67,7 +65,9 @@
     }
     sleep(END_TIME).await;
     let addrs = crashed.iter().filter_map(|crash| other_addr(&targets, target, crash));
-    let is_up = join_all(addrs.map(accepts_connections)).await.contains(&true);
+    let is_up = join_all(addrs.map(|addr| app.relay.accepts_connections(addr, CONNECT_TIMEOUT)))
+        .await
+        .contains(&true);
     let digest = format!("{digest:032x}");
     let peer = target.info.id.as_str();
     log::info!(event = "target_kept", step = "choose", digest, peer, crashed = crashed.len(), is_up; "targets crashed under a request, and this one would be the last");
@@ -98,7 +98,3 @@
     let is_other = crashed.info.id != candidate.info.id;
     (is_other || all.len() == 1).then_some(crashed.info.addr)
 }
-
-async fn accepts_connections(addr: SocketAddr) -> bool {
-    matches!(timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await, Ok(Ok(_)))
-}
--- a/crates/serve/src/flags.rs
+++ b/crates/serve/src/flags.rs
@@ -31,6 +31,9 @@
     /// Where operators read metrics and the state dump
     #[bpaf(long, env("CASSIA_OPS"), argument("IP:PORT"))]
     ops: Option<String>,
+    /// Where other hosts ask for connections to targets that they don't reach
+    #[bpaf(long, env("CASSIA_RELAY"), argument("IP:PORT"))]
+    relay: Option<String>,
     /// Where the platform's store is
     #[bpaf(long, env("CASSIA_STORE"), argument("IP:PORT"))]
     store: Option<String>,
@@ -65,6 +68,7 @@
     pub(crate) listen: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) ops: Option<SocketAddr>,
+    pub(crate) relay: Option<SocketAddr>,
     pub(crate) store: SocketAddr,
     pub(crate) store_parts: u32,
     pub(crate) record_bytes: usize,
@@ -97,6 +101,7 @@
         let listen = faults.addr("--listen", self.listen.as_deref());
         let ready = faults.addr("--ready", self.ready.as_deref());
         let ops = faults.optional_addr("--ops", self.ops.as_deref());
+        let relay = faults.optional_addr("--relay", self.relay.as_deref());
         let store = faults.addr("--store", self.store.as_deref());
         let store_parts = faults.number("--store-parts", &self.store_parts, 1, 100);
         let record_bytes = faults.number("--record-bytes", &self.record_bytes, 1_024, 1 << 30);
@@ -111,6 +116,7 @@
             listen: listen?,
             ready: ready?,
             ops,
+            relay,
             store: store?,
             store_parts: u32::try_from(store_parts?).ok()?,
             record_bytes: usize::try_from(record_bytes?).ok()?,
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -26,7 +26,9 @@
 use crate::call::is_answer_to;
 use crate::call::log_attempt;
 use crate::call::record_load;
+use crate::target_clients::Connections;
 use crate::target_clients::Repeats;
+use crate::target_clients::TargetAttempt;
 
 /// Timeout of an item, as stated to the engine.
 const ITEM_TIMEOUT: Duration = Duration::from_secs(20);
@@ -71,6 +73,8 @@
     pub(crate) model: &'a ModelName,
     pub(crate) item: &'a Item,
     pub(crate) engine: &'a InFlight,
+    /// The connections that it may use.
+    pub(crate) connections: Connections,
     /// Returns whether a faster engine has a free slot.
     pub(crate) has_faster_slot: &'a (dyn Fn() -> bool + Send + Sync),
     /// Stores the text so far.
@@ -115,8 +119,14 @@
             }
         };
         let deadline = Instant::now() + EVENT_TIMEOUT;
-        let (clients, id) = (&self.app.clients, &self.item.id);
-        match clients.send("generate", Repeats::Allowed, addr, id, request, deadline).await {
+        let attempt = TargetAttempt {
+            step: "generate",
+            addr,
+            id: &self.item.id,
+            repeats: Repeats::Allowed,
+            connections: self.connections,
+        };
+        match self.app.clients.send(attempt, request, deadline).await {
             Ok(response) => self.read_response(response, text).await,
             Err(e) => {
                 self.record_failure(&e.to_string());
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -39,6 +39,7 @@
 use crate::slot::SlotWait;
 use crate::slot::TextOrigin;
 use crate::state::lock;
+use crate::target_clients::Connections;
 use crate::token_time::TokenTime;
 
 /// One in this many items of a job, the longest ones, counts as long.
@@ -307,6 +308,11 @@
                 model: &self.model,
                 item,
                 engine,
+                connections: if break_off.is_some() {
+                    Connections::Proven
+                } else {
+                    Connections::Any
+                },
                 has_faster_slot,
                 store_progress: &store_progress,
             };
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -10,6 +10,7 @@
 mod flags;
 mod follow;
 mod generate;
+mod hosts;
 mod ingress;
 mod item;
 mod job;
@@ -21,6 +22,8 @@
 mod partition_log;
 mod quarantine;
 mod rate_limits;
+mod relay;
+mod relay_server;
 mod response;
 mod resume;
 mod runner;
@@ -74,6 +77,12 @@
     log::info!(event = "started", step = "start", host = settings.host.as_str(); "started");
     let _ops = settings.ops.map(|addr| ops::start(&app, addr)).transpose()?;
     let server = ingress::start(&settings, &app).await?;
+    if let Some(addr) = settings.relay {
+        relay_server::start(&app, addr).await?;
+        tokio::spawn(hosts::announce(Arc::clone(&app)));
+        tokio::spawn(hosts::read_hosts(Arc::clone(&app)));
+        tokio::spawn(hosts::check_links(Arc::clone(&app)));
+    }
     tokio::spawn(config::run(Arc::clone(&app)));
     tokio::spawn(targets::run(Arc::clone(&app)));
     tokio::spawn(rate_limits::run(Arc::clone(&app)));
--- a/crates/serve/src/order.rs
+++ b/crates/serve/src/order.rs
@@ -151,7 +151,7 @@
     }
     let deadline = Instant::now() + ORDER_TIMEOUT;
     let response =
-        app.clients.unshared().send_any_status("order", heartbeat.addr, request, deadline).await;
+        app.clients.orders().send_any_status("order", heartbeat.addr, request, deadline).await;
     let (load_outcome, outcome) = match &response {
         Ok(response) => match decode_order_response(response.status()) {
             outcome @ (OrderResponse::Accepted | OrderResponse::AlreadyApplied) => {
--- /dev/null
+++ b/crates/serve/src/relay.rs
@@ -0,0 +1,238 @@
+//! Connections to targets through other hosts, for targets that this host's own
+//! link doesn't reach.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use async_trait::async_trait;
+use bytes::Bytes;
+use cassia_clients::Relay;
+use cassia_ids::HostId;
+use cassia_relay::ConnectPlan;
+use cassia_relay::HostTable;
+use cassia_relay::PathTable;
+use cassia_relay::RelayReply;
+use cassia_relay::RelayRequest;
+use cassia_relay::SendPlan;
+use cassia_route::Target;
+use cassia_route::TargetSet;
+use futures::SinkExt;
+use futures::StreamExt;
+use futures::future::join_all;
+use futures::stream::FuturesUnordered;
+use prost::Message;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::flags::ServeSettings;
+use crate::state::lock;
+
+/// Maximum number of hosts that are asked for one connection.
+const MAX_ASKED: usize = 8;
+/// How long a host has to answer before the next one is asked too.
+const ASK_INTERVAL: Duration = Duration::from_millis(40);
+/// How long all of it may take.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(450);
+/// Maximum number of lost links that are checked at once.
+const MAX_CHECKED: usize = 16;
+/// How long a check of a link may take.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Size of a message between hosts.
+const MAX_FRAME_BYTES: usize = 1 << 10;
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after which unacknowledged data or probes end a connection.
+const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A connection between hosts before it is forwarded.
+pub(crate) type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// The other hosts and the links to the targets.
+#[derive(Debug)]
+pub(crate) struct HostRelay {
+    pub(crate) hosts: Mutex<HostTable>,
+    paths: Mutex<PathTable>,
+    targets: ArcSwap<TargetSet>,
+    /// Whether the other hosts may be asked: only a host that announces itself is
+    /// answered.
+    is_enabled: bool,
+}
+
+impl HostRelay {
+    pub(crate) fn new(settings: &ServeSettings) -> Self {
+        let hosts = HostTable::new(settings.host.clone(), settings.data_centre.clone());
+        Self {
+            hosts: Mutex::new(hosts),
+            paths: Mutex::default(),
+            targets: ArcSwap::from_pointee(TargetSet::empty(Instant::now())),
+            is_enabled: settings.relay.is_some(),
+        }
+    }
+
+    /// Takes over the list of targets.
+    pub(crate) fn set_targets(&self, targets: &Arc<TargetSet>) {
+        self.targets.store(Arc::clone(targets));
+        lock(&self.paths).retain(|addr| targets.all().any(|target| target.info.addr == addr));
+    }
+
+    /// Returns what to do before a request is sent to a target.
+    pub(crate) fn plan_send(&self, addr: SocketAddr) -> SendPlan {
+        lock(&self.paths).plan_send(addr, Instant::now())
+    }
+
+    /// Records that a target has answered.
+    pub(crate) fn record_heard(&self, addr: SocketAddr) {
+        lock(&self.paths).record_heard(addr, Instant::now());
+    }
+
+    /// Returns whether this host's own link to a target is lost.
+    pub(crate) fn is_lost(&self, addr: SocketAddr) -> bool {
+        lock(&self.paths).is_lost(addr)
+    }
+
+    /// Checks which of the lost links are back.
+    pub(crate) async fn check_lost_links(&self) {
+        let due = lock(&self.paths).take_due_checks(MAX_CHECKED, Instant::now());
+        join_all(due.into_iter().map(|addr| self.check(addr))).await;
+    }
+
+    async fn check(&self, addr: SocketAddr) {
+        if let Ok(Ok(_)) = timeout(CHECK_TIMEOUT, TcpStream::connect(addr)).await {
+            self.record_direct(addr);
+        }
+    }
+
+    /// Returns whether a target accepts connections, over whichever way.
+    pub(crate) async fn accepts_connections(&self, addr: SocketAddr, limit: Duration) -> bool {
+        let direct = timeout(limit, TcpStream::connect(addr)).await;
+        matches!(direct, Ok(Ok(_))) || matches!(timeout(limit, self.open(addr)).await, Ok(Ok(_)))
+    }
+
+    fn find_target(&self, addr: SocketAddr) -> Option<Arc<Target>> {
+        let targets = self.targets.load();
+        targets.all().find(|target| target.info.addr == addr && target.is_open()).cloned()
+    }
+
+    fn candidates(&self) -> Vec<(HostId, SocketAddr)> {
+        if !self.is_enabled {
+            return Vec::new();
+        }
+        lock(&self.hosts).candidates(MAX_ASKED, &mut rand::rng(), Instant::now())
+    }
+}
+
+#[async_trait]
+impl Relay for HostRelay {
+    fn plan(&self, peer: SocketAddr) -> ConnectPlan {
+        lock(&self.paths).plan(peer, Instant::now())
+    }
+
+    /// Asks other hosts, one after the other without waiting long for any, and
+    /// returns the first connection.
+    async fn open(&self, peer: SocketAddr) -> io::Result<TcpStream> {
+        let target = self.find_target(peer).ok_or(io::ErrorKind::NotFound)?;
+        let request = RelayRequest {
+            target: target.info.id.to_string(),
+            incarnation: target.info.incarnation,
+        };
+        let deadline = Instant::now() + OPEN_TIMEOUT;
+        let mut candidates = self.candidates().into_iter();
+        let mut asked = FuturesUnordered::new();
+        loop {
+            match candidates.next() {
+                Some((host, addr)) => asked.push(ask(host, addr, request.clone())),
+                None if asked.is_empty() => return Err(io::ErrorKind::NotConnected.into()),
+                None => {}
+            }
+            let next_at = (Instant::now() + ASK_INTERVAL).min(deadline);
+            let has_more = candidates.len() > 0;
+            tokio::select! {
+                Some((host, answer)) = asked.next() => match answer {
+                    Ok(stream) => {
+                        lock(&self.hosts).record_success(&host);
+                        return Ok(stream);
+                    }
+                    Err(e) => {
+                        lock(&self.hosts).record_failure(&host, Instant::now());
+                        log::debug!(event = "relay_failed", step = "relay", host = host.as_str(); "{e}");
+                    }
+                },
+                () = sleep_until(next_at.into()), if has_more => {}
+                () = sleep_until(deadline.into()) => return Err(io::ErrorKind::TimedOut.into()),
+            }
+        }
+    }
+
+    fn record_direct(&self, peer: SocketAddr) {
+        if lock(&self.paths).record_direct(peer, Instant::now()) {
+            log::info!(event = "link_back", step = "relay", target = self.name(peer); "this host reaches the target itself again");
+        }
+    }
+
+    fn record_relayed(&self, peer: SocketAddr) {
+        if lock(&self.paths).record_relayed(peer, Instant::now()) {
+            log::info!(event = "link_lost", step = "relay", target = self.name(peer); "another host reaches the target, this one does not");
+        }
+    }
+}
+
+impl HostRelay {
+    /// Returns a target's id, for logs.
+    fn name(&self, addr: SocketAddr) -> String {
+        self.find_target(addr).map_or_else(|| addr.to_string(), |target| target.info.id.to_string())
+    }
+}
+
+/// Asks one host for a connection.
+async fn ask(
+    host: HostId,
+    addr: SocketAddr,
+    request: RelayRequest,
+) -> (HostId, io::Result<TcpStream>) {
+    (host, try_ask(addr, request).await)
+}
+
+async fn try_ask(addr: SocketAddr, request: RelayRequest) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(addr).await?;
+    prepare(&stream)?;
+    let mut frames = frames(stream);
+    frames.send(Bytes::from(request.encode_to_vec())).await?;
+    let frame = frames.next().await.transpose()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    match RelayReply::decode(frame.freeze()) {
+        Ok(RelayReply::Connected) => into_stream(frames),
+        Ok(reply) => Err(io::Error::other(format!("{reply:?}"))),
+        Err(e) => Err(io::Error::other(e)),
+    }
+}
+
+/// Creates the framing of the messages before a connection is forwarded.
+pub(crate) fn frames(stream: TcpStream) -> Frames {
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    Framed::new(stream, codec)
+}
+
+/// Returns the connection after the messages. None of its bytes may have come with
+/// them.
+pub(crate) fn into_stream(frames: Frames) -> io::Result<TcpStream> {
+    let parts = frames.into_parts();
+    if parts.read_buf.is_empty() { Ok(parts.io) } else { Err(io::ErrorKind::InvalidData.into()) }
+}
+
+/// Sets the options by which a connection to a lost peer ends.
+pub(crate) fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+}
--- /dev/null
+++ b/crates/serve/src/relay_server.rs
@@ -0,0 +1,138 @@
+//! Connections to targets that this host makes for other hosts.
+
+use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use cassia_clients::Relay;
+use cassia_relay::RelayReply;
+use cassia_relay::RelayRequest;
+use cassia_route::Target;
+use futures::SinkExt;
+use futures::StreamExt;
+use prost::Message;
+use tokio::io::copy_bidirectional_with_sizes;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::hosts;
+use crate::relay::frames;
+use crate::relay::into_stream;
+use crate::relay::prepare;
+use crate::state::lock;
+
+/// Maximum number of connections that are forwarded at once.
+const MAX_FORWARDED: usize = 512;
+/// Size of the buffer of each direction of a connection.
+const BUFFER_BYTES: usize = 4 << 10;
+/// Time within which a host that has connected must send its request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a connection to a target may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Delay after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// Starts to accept other hosts' requests.
+pub(crate) async fn start(app: &Arc<App>, addr: SocketAddr) -> anyhow::Result<()> {
+    let listener = TcpListener::bind(addr).await.with_context(|| format!("bind {addr}"))?;
+    tokio::spawn(accept(listener, Arc::clone(app)));
+    Ok(())
+}
+
+async fn accept(listener: TcpListener, app: Arc<App>) {
+    let permits = Arc::new(Semaphore::new(MAX_FORWARDED));
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let (app, permits) = (Arc::clone(&app), Arc::clone(&permits));
+                tokio::spawn(async move {
+                    if let Err(e) = serve(&app, stream, peer, &permits).await {
+                        log::debug!(event = "relay_ended", step = "relay"; "{e}");
+                    }
+                });
+            }
+            Err(e) => {
+                log::warn!(event = "accept_failed", step = "relay"; "{e}");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection of another host.
+async fn serve(
+    app: &App,
+    stream: TcpStream,
+    peer: SocketAddr,
+    permits: &Semaphore,
+) -> io::Result<()> {
+    prepare(&stream)?;
+    let mut frames = frames(stream);
+    let frame = timeout(REQUEST_TIMEOUT, frames.next()).await?;
+    let frame = frame.transpose()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let request = RelayRequest::decode(frame).map_err(io::Error::other)?;
+    let permit = permits.try_acquire();
+    let connected = match permit {
+        _ if !is_host(app, peer.ip()).await => Err(RelayReply::UnknownHost),
+        Ok(_) if !app.state.is_stopping() => connect(app, &request).await,
+        _ => Err(RelayReply::Busy),
+    };
+    let (reply, target) = match connected {
+        Ok(target) => (RelayReply::Connected, Some(target)),
+        Err(reply) => (reply, None),
+    };
+    frames.send(reply.to_bytes()).await?;
+    let Some(mut target) = target else {
+        let (origin, target) = (peer.ip().to_string(), request.target.as_str());
+        log::debug!(event = "relay_refused", step = "relay", origin, target; "{reply:?}");
+        return Ok(());
+    };
+    let mut origin = into_stream(frames)?;
+    copy_bidirectional_with_sizes(&mut origin, &mut target, BUFFER_BYTES, BUFFER_BYTES).await?;
+    Ok(())
+}
+
+/// Returns whether a host that announced itself has this address. One that has just
+/// started may not have been read yet.
+async fn is_host(app: &App, addr: IpAddr) -> bool {
+    if lock(&app.relay.hosts).has_addr(addr) {
+        return true;
+    }
+    hosts::refresh(app).await;
+    lock(&app.relay.hosts).has_addr(addr)
+}
+
+/// Connects to a target over this host's own link.
+async fn connect(app: &App, request: &RelayRequest) -> Result<TcpStream, RelayReply> {
+    let target = find_target(app, request).ok_or(RelayReply::NotListed)?;
+    let addr = target.info.addr;
+    // A lost link is tried again by its checks.
+    if app.relay.is_lost(addr) {
+        return Err(RelayReply::Unreachable);
+    }
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => {
+            app.relay.record_direct(addr);
+            prepare(&stream).map_err(|_| RelayReply::Unreachable)?;
+            Ok(stream)
+        }
+        _ => Err(RelayReply::Unreachable),
+    }
+}
+
+fn find_target(app: &App, request: &RelayRequest) -> Option<Arc<Target>> {
+    let targets = app.state.targets.load();
+    let is_asked = |target: &&Arc<Target>| {
+        target.info.id == request.target
+            && target.info.incarnation == request.incarnation
+            && target.is_open()
+    };
+    targets.all().find(is_asked).cloned()
+}
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -38,7 +38,9 @@
 use crate::response::Body;
 use crate::response::Refusal;
 use crate::resume;
+use crate::target_clients::Connections;
 use crate::target_clients::Repeats;
+use crate::target_clients::TargetAttempt;
 
 /// Handles a caller's request whose response is a stream.
 ///
@@ -108,8 +110,14 @@
         let Ok(request) = request else {
             return Refusal::BadRequest.response("stream");
         };
-        let (clients, repeats) = (&app.clients, Repeats::AtMostOnce);
-        match clients.send("stream", repeats, info.addr, &head.id, request, deadline).await {
+        let attempt = TargetAttempt {
+            step: "stream",
+            addr: info.addr,
+            id: &head.id,
+            repeats: Repeats::AtMostOnce,
+            connections: Connections::Proven,
+        };
+        match app.clients.send(attempt, request, deadline).await {
             Ok(response) => {
                 let response_head = decode_response_head(response.status(), response.headers());
                 if !is_answer_to(&head.id, response.status(), &response_head) {
--- a/crates/serve/src/target_clients.rs
+++ b/crates/serve/src/target_clients.rs
@@ -26,6 +26,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
+use crate::relay::HostRelay;
 use crate::state::lock;
 
 /// Number of answers that are remembered.
@@ -40,9 +41,33 @@
     AtMostOnce,
 }
 
+/// Which connections a request may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Connections {
+    /// Any idle one: if nothing comes on it, the request is sent elsewhere too.
+    Any,
+    /// A new one, unless the target has answered just now. An idle one may have been
+    /// lost unnoticed, and nothing else would serve the request then.
+    Proven,
+}
+
+/// One attempt to have a request served by a target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TargetAttempt<'a> {
+    /// The step, for errors.
+    pub(crate) step: &'static str,
+    /// The target's address.
+    pub(crate) addr: SocketAddr,
+    /// Id of the request.
+    pub(crate) id: &'a str,
+    pub(crate) repeats: Repeats,
+    pub(crate) connections: Connections,
+}
+
 /// Clients of the targets, which differ in when they use a connection again.
 #[derive(Debug)]
 pub(crate) struct TargetClients {
+    relay: Arc<HostRelay>,
     /// For requests that may run more than once, and items.
     pooled: HttpClient,
     /// For requests that must not. A refusal often has no id, so none of them may
@@ -51,8 +76,11 @@
     /// For reports. They have no id, but the late copy of one is an older report
     /// of the same target.
     reports: HttpClient,
-    /// For orders, whose responses have no id, and for requests that the target
-    /// has answered before. Each has a connection of its own.
+    /// For orders, whose responses have no id. Each has a connection of its own, over
+    /// this host's own link: an engine takes orders from one host at a time.
+    orders: HttpClient,
+    /// For requests that the target has answered before. Each has a connection of its
+    /// own.
     unshared: HttpClient,
     /// The latest requests that targets answered, by address and id.
     answered: Mutex<VecDeque<(SocketAddr, RequestId)>>,
@@ -60,12 +88,15 @@
 
 impl TargetClients {
     /// Creates clients that buffer the bodies of responses within one budget.
-    pub(crate) fn new(budget: &Arc<ByteBudget>) -> Self {
-        let client = |reuse| HttpClient::new(Arc::clone(budget)).with_reuse(reuse);
+    pub(crate) fn new(budget: &Arc<ByteBudget>, relay: &Arc<HostRelay>) -> Self {
+        let direct = |reuse| HttpClient::new(Arc::clone(budget)).with_reuse(reuse);
+        let client = |reuse| direct(reuse).with_relay(Arc::<HostRelay>::clone(relay));
         Self {
+            relay: Arc::clone(relay),
             pooled: client(Reuse::Always),
             at_most_once: client(Reuse::If(may_reuse_connection)),
-            reports: client(Reuse::Always),
+            reports: direct(Reuse::Always),
+            orders: direct(Reuse::Never),
             unshared: client(Reuse::Never),
             answered: Mutex::default(),
         }
@@ -75,19 +106,28 @@
     /// whatever its status.
     pub(crate) async fn send(
         &self,
-        step: &'static str,
-        repeats: Repeats,
-        addr: SocketAddr,
-        id: &str,
+        attempt: TargetAttempt<'_>,
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, PlatformError> {
+        let TargetAttempt { step, addr, id, repeats, connections } = attempt;
         let client = match repeats {
             _ if self.was_answered(addr, id) => &self.unshared,
             Repeats::Allowed => &self.pooled,
             Repeats::AtMostOnce => &self.at_most_once,
         };
-        client.send_any_status(step, addr, request, deadline).await
+        let plan = self.relay.plan_send(addr);
+        if plan.is_changed {
+            self.drop_pools(addr);
+        }
+        if connections == Connections::Proven && !plan.is_proven {
+            client.drop_pool(addr);
+        }
+        let sent = client.send_any_status(step, addr, request, deadline).await;
+        if sent.is_ok() {
+            self.relay.record_heard(addr);
+        }
+        sent
     }
 
     /// Records that a target ran a request and answered it. If it gets the request
@@ -121,9 +161,9 @@
         &self.reports
     }
 
-    /// Returns the client that uses no connection again.
-    pub(crate) fn unshared(&self) -> &HttpClient {
-        &self.unshared
+    /// Returns the client of orders.
+    pub(crate) fn orders(&self) -> &HttpClient {
+        &self.orders
     }
 }
 
--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -224,7 +224,9 @@
         }
         app.state.retain_versions(&present);
         let updated = app.state.targets.load().updated(&self.registry.targets(now));
-        app.state.targets.store(Arc::new(updated));
+        let updated = Arc::new(updated);
+        app.relay.set_targets(&updated);
+        app.state.targets.store(updated);
         app.state.heartbeats.store(Arc::new(present));
         app.state.slot_freed.notify_waiters();
     }
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -18,6 +18,8 @@
 
 /// Time between two attempts to listen on the address again.
 const REBIND_INTERVAL: Duration = Duration::from_millis(5);
+/// How long an address may be in use before it is bound first.
+const BIND_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a connection that fills the queue of a listener may take.
 const FILL_TIMEOUT: Duration = Duration::from_millis(50);
 /// Number of connections that fill the queue of a listener without a backlog.
@@ -58,7 +60,9 @@
     ///
     /// Fails if the address can't be bound.
     pub async fn start(addr: SocketAddr, target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(addr).await?;
+        // A process that is being started holds copies of this one's sockets for a
+        // moment, also of one that was closed since.
+        let listener = timeout(BIND_TIMEOUT, rebind(addr)).await?;
         let (state, rx) = watch::channel(State::Up);
         let task = tokio::spawn(run(listener, addr, target, rx));
         Ok(Self { addr, state, task })
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -143,9 +143,11 @@
     /// Starts `cassia-serve`, which reaches the store at this address.
     pub(crate) fn start_serve(host: &str, store: SocketAddr) -> io::Result<Self> {
         let (listen, link, ops) = (free_addr()?, free_addr()?, free_addr()?);
+        let relay = free_addr()?;
         let args: Vec<String> = vec![
             format!("--host={host}"),
             "--data-centre=z1".to_owned(),
+            format!("--relay={relay}"),
             format!("--listen={listen}"),
             format!("--ready={link}"),
             format!("--ops={ops}"),
