Serve: a host that has lost its links gives orders and jobs to others

Orders through another host would count as a second holder's.

Change: a host is cut off if at least two and half of the links that it uses are lost, where lost means that it could not connect and another host could. The holder asks for that when an engine does not answer. A host that is cut off hands the lease over, does not contend, and leaves the group whose members run jobs; it ends what it began through other hosts. How long the next holder has to wait is counted from the last order that was sent, not from the last one begun.

--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -125,6 +125,7 @@
         for (target, path) in &mut self.paths {
             if due.len() < limit && path.check_at.is_some_and(|at| now >= at) {
                 path.check_at = Some(now + CHECK_INTERVAL);
+                path.used_at = Some(now);
                 due.push(*target);
             }
         }
--- a/crates/serve/src/order.rs
+++ b/crates/serve/src/order.rs
@@ -27,6 +27,9 @@
 
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Maximum time from sending an order to its arrival, including the
+/// connection.
+pub(crate) const MAX_ORDER_DELAY: Duration = ORDER_TIMEOUT;
 
 /// An order is only sent if the lease is valid for this much longer, which
 /// covers most of the time until the order arrives.
@@ -44,6 +47,8 @@
     Refused,
     /// The engine did not answer, and got no order.
     Unreachable,
+    /// The same, but another host reaches the engine.
+    CutOff,
 }
 
 /// The lease under which an order is sent.
@@ -53,6 +58,8 @@
     pub(crate) fence: Fence,
     /// The lease as it is now.
     pub(crate) held: watch::Receiver<Option<HeldLease>>,
+    /// Latest time at which the last order that was sent may arrive.
+    pub(crate) last_arrival: watch::Sender<Option<Instant>>,
 }
 
 impl OrderLease {
@@ -61,6 +68,11 @@
         let held = *self.held.borrow();
         held.is_some_and(|held| held.fence == self.fence && now + SEND_MARGIN < held.until)
     }
+
+    /// Records that an order is sent now.
+    fn record_sent(&self, now: Instant) {
+        self.last_arrival.send_modify(|last| *last = (*last).max(Some(now + MAX_ORDER_DELAY)));
+    }
 }
 
 /// The reports of loading engines that are being read, at most one an engine.
@@ -129,7 +141,7 @@
 async fn try_send_order(app: &App, due: &DueLoad, lease: &OrderLease) -> OrderOutcome {
     let (id, model, version) = (&due.engine.id, &due.model, due.version);
     let Some((heartbeat, report)) = poll_report(app, id, model).await else {
-        return OrderOutcome::Unreachable;
+        return why_unreachable(app, id).await;
     };
     if report.busy || app.state.version_of(id, model) >= Some(version) {
         return OrderOutcome::Refused;
@@ -149,6 +161,7 @@
     if !lease.may_send(app.clock.now()) {
         return OrderOutcome::Refused;
     }
+    lease.record_sent(app.clock.now());
     let deadline = Instant::now() + ORDER_TIMEOUT;
     let response =
         app.clients.orders().send_any_status("order", heartbeat.addr, request, deadline).await;
@@ -165,7 +178,7 @@
                 (OrderOutcome::Refused, outcome.to_string())
             }
         },
-        Err(e) if e.kind == ErrorKind::Connect => (OrderOutcome::Unreachable, e.to_string()),
+        Err(e) if e.kind == ErrorKind::Connect => (why_unreachable(app, id).await, e.to_string()),
         // The engine may still carry it out, but not after a later order: it
         // then refuses this one because of `expected_orders`.
         Err(e) => (OrderOutcome::Loading, e.to_string()),
@@ -174,3 +187,17 @@
     log::info!(event = "order", step = "order", target, model, version, fence, after_orders = report.orders, outcome; "order sent");
     load_outcome
 }
+
+/// Finds out whether an engine that did not answer is lost to this host alone.
+async fn why_unreachable(app: &App, id: &TargetId) -> OrderOutcome {
+    let heartbeats = app.state.heartbeats.load_full();
+    let addr = heartbeats.iter().find(|heartbeat| heartbeat.id == *id).map(|known| known.addr);
+    let Some(addr) = addr else {
+        return OrderOutcome::Unreachable;
+    };
+    if app.relay.confirm_lost(addr).await {
+        OrderOutcome::CutOff
+    } else {
+        OrderOutcome::Unreachable
+    }
+}
--- a/crates/serve/src/ownership.rs
+++ b/crates/serve/src/ownership.rs
@@ -28,11 +28,25 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Runs until a planned stop, then leaves the group.
+///
+/// A host that has lost its links to the targets, while others reach them, is no
+/// member meanwhile: they run the jobs and give the orders better.
 pub(crate) async fn run(app: Arc<App>) {
     let mut generation = 0;
     let mut store_failed = false;
+    let mut has_left = false;
     let mut runners: BTreeMap<u32, JoinHandle<()>> = BTreeMap::new();
     while !app.state.is_stopping() {
+        if app.relay.is_cut_off() {
+            if !std::mem::replace(&mut has_left, true) {
+                set_owned(&app, &mut runners, BTreeSet::new(), generation);
+                app.state.duty_rank.store(None);
+                leave(&app).await;
+            }
+            app.state.sleep_unless_stopping(RENEW_INTERVAL).await;
+            continue;
+        }
+        has_left = false;
         let deadline = Instant::now() + CALL_TIMEOUT;
         let joined = app
             .store
@@ -64,10 +78,7 @@
         app.state.sleep_unless_stopping(interval).await;
     }
     set_owned(&app, &mut runners, BTreeSet::new(), generation);
-    let deadline = Instant::now() + CALL_TIMEOUT;
-    if let Err(e) = app.store.leave(GROUP, &app.state.host, deadline).await {
-        log::warn!(event = "leave_failed", step = e.step; "{e}");
-    }
+    leave(&app).await;
     for (_, runner) in runners {
         // Runners end by themselves once their running items are done; the
         // program's stop limit bounds this.
@@ -77,6 +88,13 @@
     }
 }
 
+async fn leave(app: &App) {
+    let deadline = Instant::now() + CALL_TIMEOUT;
+    if let Err(e) = app.store.leave(GROUP, &app.state.host, deadline).await {
+        log::warn!(event = "leave_failed", step = e.step; "{e}");
+    }
+}
+
 fn set_owned(
     app: &Arc<App>,
     runners: &mut BTreeMap<u32, JoinHandle<()>>,
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -100,16 +100,38 @@
         lock(&self.paths).is_lost(addr)
     }
 
+    /// Returns whether this host has lost at least half of the links that it uses,
+    /// while other hosts reach these targets.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        lock(&self.paths).is_cut_off(Instant::now())
+    }
+
+    /// Finds out whether another host reaches a target that this one does not.
+    pub(crate) async fn confirm_lost(&self, addr: SocketAddr) -> bool {
+        if self.check(addr).await {
+            return false;
+        }
+        let is_reached = self.open(addr).await.is_ok();
+        if is_reached {
+            self.record_relayed(addr);
+        }
+        is_reached
+    }
+
     /// Checks which of the lost links are back.
     pub(crate) async fn check_lost_links(&self) {
         let due = lock(&self.paths).take_due_checks(MAX_CHECKED, Instant::now());
         join_all(due.into_iter().map(|addr| self.check(addr))).await;
     }
 
-    async fn check(&self, addr: SocketAddr) {
-        if let Ok(Ok(_)) = timeout(CHECK_TIMEOUT, TcpStream::connect(addr)).await {
+    /// Returns whether this host reaches a target over its own link.
+    async fn check(&self, addr: SocketAddr) -> bool {
+        let is_reached =
+            matches!(timeout(CHECK_TIMEOUT, TcpStream::connect(addr)).await, Ok(Ok(_)));
+        if is_reached {
             self.record_direct(addr);
         }
+        is_reached
     }
 
     /// Returns whether a target accepts connections, over whichever way.
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -40,6 +40,7 @@
 use crate::app::App;
 use crate::order;
 use crate::order::EngineReports;
+use crate::order::MAX_ORDER_DELAY;
 use crate::order::OrderLease;
 use crate::order::OrderOutcome;
 
@@ -52,12 +53,6 @@
 /// How often a round of orders is scheduled.
 const ROUND_INTERVAL: Duration = Duration::from_millis(150);
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum time from sending an order to its arrival, including the
-/// connection.
-const MAX_ORDER_DELAY: Duration = Duration::from_millis(600);
-/// Maximum time from starting an order, which begins with a report of the
-/// engine, to its arrival.
-const MAX_ORDER_TIME: Duration = Duration::from_secs(1);
 /// Number of ranks that contend for the lease. The higher the rank, the longer
 /// a process waits before it does.
 const MAX_CONTENDERS: u32 = 2;
@@ -75,20 +70,26 @@
     controller.read_at_start(&app).await;
     while !*drained.borrow() && (!app.state.is_stopping() || controller.held_fence.is_some()) {
         let rank = app.state.duty_rank.load().as_deref().copied();
-        let rank = rank.filter(|rank| *rank < MAX_CONTENDERS && !app.state.is_stopping());
+        let is_cut_off = app.relay.is_cut_off();
+        if is_cut_off && controller.held_fence.is_some() {
+            log::info!(event = "lease_yielded", step = "lease"; "other hosts reach engines that this one does not");
+            controller.hand_over(&app).await;
+        }
+        let may_contend = !is_cut_off && !app.state.is_stopping();
+        let rank = rank.filter(|rank| *rank < MAX_CONTENDERS && may_contend);
         if let Some(rank) = rank {
             controller.lease.set_rank(rank);
         }
         if rank.is_some()
             || controller.held_fence.is_some()
-            || controller.lease.held_by_predecessor()
+            || !is_cut_off && controller.lease.held_by_predecessor()
         {
             controller.round(&app).await;
         }
         // The sender lives as long as the shared state.
         let _ = timeout(ROUND_INTERVAL, drained.wait_for(|drained| *drained)).await;
     }
-    controller.stop(&app).await;
+    controller.hand_over(&app).await;
 }
 
 #[derive(Debug)]
@@ -100,7 +101,7 @@
     /// When to reset the lease stream, if its older records are lost.
     reset_at: Option<Instant>,
     /// Latest time at which the last order may arrive.
-    last_order_arrival: Option<Instant>,
+    last_order_arrival: watch::Sender<Option<Instant>>,
     /// The lease as the orders under way see it.
     held: watch::Sender<Option<HeldLease>>,
     /// The orders under way, and the reports that are being read. The lease is
@@ -123,7 +124,7 @@
             trackers: BTreeMap::new(),
             held_fence: None,
             reset_at: None,
-            last_order_arrival: None,
+            last_order_arrival: watch::Sender::new(None),
             held: watch::Sender::new(None),
             orders: JoinSet::new(),
             reports: EngineReports::default(),
@@ -167,7 +168,9 @@
         match outcome {
             OrderOutcome::Loading => tracker.record_answer(&due.engine),
             OrderOutcome::Refused => tracker.record_refusal(&due.engine, due.version, now),
-            OrderOutcome::Unreachable => tracker.record_unreachable(&due.engine, due.version, now),
+            OrderOutcome::Unreachable | OrderOutcome::CutOff => {
+                tracker.record_unreachable(&due.engine, due.version, now);
+            }
         }
     }
 
@@ -229,14 +232,11 @@
 
     /// Hands the lease over. The next process of this host may send orders at
     /// once; other hosts wait for the minimum time after the last order.
-    async fn stop(&mut self, app: &App) {
-        if !self.orders.is_empty() {
-            // One of them may have just been sent.
-            self.last_order_arrival = Some(app.clock.now() + MAX_ORDER_DELAY);
-            self.orders.shutdown().await;
-        }
+    async fn hand_over(&mut self, app: &App) {
+        self.orders.shutdown().await;
         let min_interval = Duration::from_millis(app.settings.lease_ms);
-        let quiet_until = self.last_order_arrival.map(|arrival| arrival + min_interval);
+        let last_arrival = *self.last_order_arrival.borrow();
+        let quiet_until = last_arrival.map(|arrival| arrival + min_interval);
         let Some(op) = self.lease.release(app.clock.now(), quiet_until) else {
             return;
         };
@@ -262,8 +262,11 @@
             self.reports.read_progress(app, model, tracker);
         }
         for due in self.schedule(app, &app.state.wanted.load_full()) {
-            self.last_order_arrival = Some(app.clock.now() + MAX_ORDER_TIME);
-            let lease = OrderLease { fence: held.fence, held: self.held.subscribe() };
+            let lease = OrderLease {
+                fence: held.fence,
+                held: self.held.subscribe(),
+                last_arrival: self.last_order_arrival.clone(),
+            };
             self.orders.spawn(order::send_order(Arc::clone(app), due, lease));
         }
     }
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -31,6 +31,9 @@
     pub link: SocketAddr,
     /// Address for operators.
     pub ops: SocketAddr,
+    /// Address at which other hosts ask for connections, if the program is
+    /// `cassia-serve`.
+    pub relay: Option<SocketAddr>,
 }
 
 /// Returns the path of a shipped program, in the directory of the running one.
@@ -137,7 +140,7 @@
         }
         args.extend(platform_flags.iter().cloned());
         let child = spawn(program, &args)?;
-        Ok(Self { child, program, args, listen, link, ops })
+        Ok(Self { child, program, args, listen, link, ops, relay: None })
     }
 
     /// Starts `cassia-serve`, which reaches the store at this address.
@@ -156,7 +159,7 @@
         ];
         let program = "cassia-serve";
         let child = spawn(program, &args)?;
-        Ok(Self { child, program, args, listen, link, ops })
+        Ok(Self { child, program, args, listen, link, ops, relay: Some(relay) })
     }
 
     /// Kills the process and starts the program again with the same arguments.
