Serve: the versions that begin streams are known after all hosts died

Cause: versions were reported to the store only while a service had two. With one, what began a stream was known to live processes only, and a host that found a single version took that for the one. Class of fault: a conclusion from what is seen now about what was before the process began. The case in which two versions had been in service passes before and after: both are reported.

Change: the first resumable stream of a version reports the version at once, and is passed on when the report is stored (200 ms at most; not without the store); some host reports it again each minute while it begins streams, as log records are kept for five. Services without resumable streams report nothing. A host that is back finds two versions, then, and refuses what it can't know.

--- a/crates/resume/src/table.rs
+++ b/crates/resume/src/table.rs
@@ -16,6 +16,9 @@
 /// How long after its last sight a version may still have streams that callers
 /// resume: longer than any caller waits.
 pub const RETENTION: Duration = Duration::from_mins(2);
+/// How often it is reported at least that a version begins streams. Log records are
+/// kept for longer than twice this time.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_mins(1);
 /// Number of streams after which those of the generation before are forgotten.
 const MAX_GENERATION: usize = 65_536;
 /// Maximum number of this host's streams that wait to be reported.
@@ -56,11 +59,23 @@
     begun: Option<Instant>,
     /// This host's streams that the other hosts don't know yet.
     unreported: VecDeque<(StreamDigest, usize, Instant)>,
-    /// The versions that some host has reported.
-    announced: BTreeSet<Origin>,
+    /// When to report again that a version begins streams; of those that some host
+    /// has reported.
+    announce_at: BTreeMap<Origin, Instant>,
+    /// The versions of which a report was read.
+    read: BTreeSet<Origin>,
+    /// From 0 to 1, different at each host: the later hosts see that an earlier one
+    /// has reported a version again.
+    spread: f64,
 }
 
 impl StreamTable {
+    /// Creates an empty table. `spread` is from 0 to 1, different at each host.
+    #[must_use]
+    pub fn new(spread: f64) -> Self {
+        Self { spread, ..Self::default() }
+    }
+
     /// Records that a version of a service's software serves. Returns whether it is
     /// new to this host.
     pub fn observe(&mut self, service: &SmolStr, software: &Software, now: Instant) -> bool {
@@ -72,7 +87,9 @@
     /// to report its streams now: it learnt from the record of another version.
     pub fn apply(&mut self, record: &StreamRecord, now: Instant) -> bool {
         let is_new = self.observe(&record.service, &record.software, now);
-        self.announced.insert((record.service.clone(), record.software.clone()));
+        let renew_at = now + ANNOUNCE_INTERVAL.mul_f64(1.0 + self.spread);
+        self.announce_at.insert((record.service.clone(), record.software.clone()), renew_at);
+        self.read.insert((record.service.clone(), record.software.clone()));
         let origin = self.origin(&record.service, &record.software);
         for stream in &record.streams {
             self.insert(*stream, origin, now);
@@ -96,7 +113,29 @@
             self.unreported.pop_front();
         }
         self.unreported.push_back((stream, origin, now));
-        self.is_mixed(service, now)
+        self.is_mixed(service, now) || self.is_announcement_due(origin, now)
+    }
+
+    /// Returns whether it has to be reported that a version begins streams. If all
+    /// hosts end, nobody else knows of it when they are back.
+    fn is_announcement_due(&self, origin: usize, now: Instant) -> bool {
+        let origin = self.origins.get(origin);
+        origin.is_some_and(|origin| self.announce_at.get(origin).is_none_or(|at| now >= *at))
+    }
+
+    /// Returns whether a version that begins streams is still to be reported for the
+    /// first time.
+    #[must_use]
+    pub fn has_new_version(&self) -> bool {
+        self.unreported.iter().any(|(_, origin, _)| {
+            self.origins.get(*origin).is_some_and(|origin| !self.announce_at.contains_key(origin))
+        })
+    }
+
+    /// Returns whether some host's report of a version was read.
+    #[must_use]
+    pub fn is_announced(&self, service: &SmolStr, software: &Software) -> bool {
+        self.read.contains(&(service.clone(), software.clone()))
     }
 
     /// Returns whether a service has, or had lately, several versions.
@@ -135,8 +174,9 @@
         sole.filter(|_| recent.next().is_none())
     }
 
-    /// Returns what the other hosts have to be told: of each service with several
-    /// versions, the versions that nobody has reported and this host's streams.
+    /// Returns what has to be reported: the versions that begin streams, now and
+    /// then; and of each service with several versions, those that nobody has reported
+    /// and this host's streams.
     pub fn take_reports(&mut self, now: Instant) -> Vec<StreamRecord> {
         let mut reports: BTreeMap<Origin, Vec<StreamDigest>> = BTreeMap::new();
         let mixed: Vec<_> =
@@ -144,11 +184,19 @@
         for service in mixed {
             for software in self.versions[&service].keys() {
                 let origin = (service.clone(), software.clone());
-                if self.announced.insert(origin.clone()) {
+                if !self.announce_at.contains_key(&origin) {
                     reports.entry(origin).or_default();
                 }
             }
         }
+        for (_, origin, _) in &self.unreported {
+            if self.is_announcement_due(*origin, now) {
+                reports.entry(self.origins[*origin].clone()).or_default();
+            }
+        }
+        for origin in reports.keys() {
+            self.announce_at.insert(origin.clone(), now + ANNOUNCE_INTERVAL);
+        }
         for (stream, origin, begun) in std::mem::take(&mut self.unreported) {
             if now >= begun + RETENTION {
                 continue;
--- a/crates/serve/src/resume.rs
+++ b/crates/serve/src/resume.rs
@@ -48,6 +48,8 @@
 /// How long streams are collected for one append: the streams of a host that ends
 /// within this time of their first event can't be resumed.
 const BATCH_DELAY: Duration = Duration::from_millis(200);
+/// How long the report of a version may take to be stored.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a resumption waits for the list of targets to be read again.
 const LIST_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -69,15 +71,18 @@
     list_read_at: watch::Sender<Option<Instant>>,
     /// Whether the reports of all hosts have been read to their end once.
     has_read_reports: watch::Sender<bool>,
+    /// Number of reports that were read.
+    read_count: watch::Sender<u64>,
 }
 
 impl Default for Streams {
     fn default() -> Self {
         Self {
-            table: Mutex::default(),
+            table: Mutex::new(StreamTable::new(rand::random())),
             queued: Notify::new(),
             list_read_at: watch::Sender::new(None),
             has_read_reports: watch::Sender::new(false),
+            read_count: watch::Sender::new(0),
         }
     }
 }
@@ -109,6 +114,19 @@
         }
     }
 
+    /// Waits, before the first streams of a version are passed on, until its report is
+    /// stored: if all hosts end then, they know of it when they are back. Without the
+    /// store none can, so the wait is short.
+    pub(crate) async fn wait_until_announced(&self, app: &App, target: &Target) {
+        let TargetKind::Service { name } = &target.info.kind else { return };
+        if app.state.store_lost_at.load().is_some() {
+            return;
+        }
+        let mut read = self.read_count.subscribe();
+        let is_announced = |_: &u64| lock(&self.table).is_announced(name, &target.info.software);
+        let _ = timeout(ANNOUNCE_TIMEOUT, read.wait_for(is_announced)).await;
+    }
+
     /// Waits until this host knows every version that served when the call was made.
     async fn wait_until_current(&self, app: &App) -> Result<(), Refusal> {
         let now = Instant::now();
@@ -203,6 +221,7 @@
                 if lock(&app.streams.table).apply(&record, Instant::now()) {
                     app.streams.queued.notify_one();
                 }
+                app.streams.read_count.send_modify(|count| *count += 1);
             }
             Err(e) => {
                 log::warn!(event = "record_unreadable", step = "resume"; "{e}");
@@ -219,7 +238,9 @@
 pub(crate) async fn append_reports(app: Arc<App>) {
     loop {
         app.streams.queued.notified().await;
-        sleep(BATCH_DELAY).await;
+        if !lock(&app.streams.table).has_new_version() {
+            sleep(BATCH_DELAY).await;
+        }
         let reports = lock(&app.streams.table).take_reports(Instant::now());
         let records: Vec<_> = reports.iter().map(StreamRecord::to_record).collect();
         if records.is_empty() {
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -128,6 +128,7 @@
                 if !response_head.not_run {
                     if response.status().is_success() && is_resumable {
                         app.streams.begin(head, in_flight.target());
+                        app.streams.wait_until_announced(app, in_flight.target()).await;
                     }
                     return forward_response(app, head.id.clone(), digest, response, in_flight);
                 }
--- a/crates/trials/src/platform_env.rs
+++ b/crates/trials/src/platform_env.rs
@@ -137,6 +137,16 @@
         self.targets.push(Arc::clone(target));
     }
 
+    /// Removes a target from the list. It goes on serving.
+    pub fn remove_target(&mut self, id: &str) {
+        let Some(index) = self.targets.iter().position(|target| target.id() == id) else {
+            return;
+        };
+        self.heartbeats.remove(index).abort();
+        self.targets.remove(index);
+        self.store.put("keyed.servers", id, None);
+    }
+
     /// Starts a target that sends bytes without end; it is listed as long as
     /// this environment exists.
     ///
