Serve: a planned stop waits for the connections that it forwards for other hosts

Suspected on reading: a host that is stopped as planned cut off the requests of other hosts' callers that went through it. It asks no more and is asked no more from the start of its stop; now it also waits, within its stop limit, until each connection that it forwards has been quiet for two seconds, longer than the pause after which a run is broken off.

trials::platform_lost_targets::a_planned_stop_ends_no_request_that_is_forwarded fails without the wait and passes.

--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -43,7 +43,7 @@
 
 /// How long the load balancer may still open connections after readiness is
 /// gone: two checks, one second apart, and a margin.
-const DRAIN_DELAY: Duration = Duration::from_millis(2_300);
+pub(crate) const DRAIN_DELAY: Duration = Duration::from_millis(2_300);
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -9,6 +9,7 @@
 mod exposure;
 mod flags;
 mod follow;
+mod forward;
 mod generate;
 mod hosts;
 mod ingress;
@@ -49,6 +50,7 @@
 use cassia_node::start_logging;
 use tokio::runtime::Builder;
 use tokio::time::timeout_at;
+use tokio_util::task::TaskTracker;
 
 use crate::app::App;
 use crate::flags::ServeSettings;
@@ -77,8 +79,9 @@
     log::info!(event = "started", step = "start", host = settings.host.as_str(); "started");
     let _ops = settings.ops.map(|addr| ops::start(&app, addr)).transpose()?;
     let server = ingress::start(&settings, &app).await?;
+    let mut forwarded = TaskTracker::new();
     if let Some(addr) = settings.relay {
-        relay_server::start(&app, addr).await?;
+        forwarded = relay_server::start(&app, addr).await?;
         tokio::spawn(hosts::announce(Arc::clone(&app)));
         tokio::spawn(hosts::read_hosts(Arc::clone(&app)));
         tokio::spawn(hosts::check_links(Arc::clone(&app)));
@@ -95,6 +98,9 @@
     ingress::wait_for_stop_signal(&app).await?;
     let deadline = Instant::now() + settings.stop_limit();
     server.stop(settings.stop_limit()).await;
+    forwarded.close();
+    // Beyond the limit, requests of other hosts' callers are cut off too.
+    let _ = timeout_at(deadline.into(), forwarded.wait()).await;
     app.state.drained.send_replace(true);
     for (task, step) in [(ownership, "runners"), (weights, "orders")] {
         // In an outage of the store, results and the lease can't be handed on.
--- a/crates/serve/src/relay_server.rs
+++ b/crates/serve/src/relay_server.rs
@@ -14,15 +14,17 @@
 use futures::SinkExt;
 use futures::StreamExt;
 use prost::Message;
-use tokio::io::copy_bidirectional_with_sizes;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
 
 use crate::app::App;
+use crate::forward::forward;
 use crate::hosts;
+use crate::ingress::DRAIN_DELAY;
 use crate::relay::frames;
 use crate::relay::into_stream;
 use crate::relay::prepare;
@@ -30,8 +32,9 @@
 
 /// Maximum number of connections that are forwarded at once.
 const MAX_FORWARDED: usize = 512;
-/// Size of the buffer of each direction of a connection.
-const BUFFER_BYTES: usize = 4 << 10;
+/// A connection without bytes for this long has no request under way in a planned
+/// stop: longer than the pause after which a run at an engine is broken off.
+const QUIET_TIME: Duration = Duration::from_secs(2);
 /// Time within which a host that has connected must send its request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a connection to a target may take.
@@ -39,20 +42,22 @@
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// Starts to accept other hosts' requests.
-pub(crate) async fn start(app: &Arc<App>, addr: SocketAddr) -> anyhow::Result<()> {
+/// Starts to accept other hosts' requests. The connections that are forwarded count in
+/// the tracker that is returned.
+pub(crate) async fn start(app: &Arc<App>, addr: SocketAddr) -> anyhow::Result<TaskTracker> {
     let listener = TcpListener::bind(addr).await.with_context(|| format!("bind {addr}"))?;
-    tokio::spawn(accept(listener, Arc::clone(app)));
-    Ok(())
+    let connections = TaskTracker::new();
+    tokio::spawn(accept(listener, Arc::clone(app), connections.clone()));
+    Ok(connections)
 }
 
-async fn accept(listener: TcpListener, app: Arc<App>) {
+async fn accept(listener: TcpListener, app: Arc<App>, connections: TaskTracker) {
     let permits = Arc::new(Semaphore::new(MAX_FORWARDED));
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let (app, permits) = (Arc::clone(&app), Arc::clone(&permits));
-                tokio::spawn(async move {
+                connections.spawn(async move {
                     if let Err(e) = serve(&app, stream, peer, &permits).await {
                         log::debug!(event = "relay_ended", step = "relay"; "{e}");
                     }
@@ -95,8 +100,11 @@
         return Ok(());
     };
     let mut origin = into_stream(frames)?;
-    copy_bidirectional_with_sizes(&mut origin, &mut target, BUFFER_BYTES, BUFFER_BYTES).await?;
-    Ok(())
+    let stop = async {
+        app.state.wait_for_stop().await;
+        sleep(DRAIN_DELAY).await;
+    };
+    forward(&mut origin, &mut target, stop, QUIET_TIME).await
 }
 
 /// Returns whether a host that announced itself has this address. One that has just
--- a/crates/trials/tests/platform_lost_targets.rs
+++ b/crates/trials/tests/platform_lost_targets.rs
@@ -288,3 +288,31 @@
     assert_eq!(ask(HOST, to, &target).await?, RelayReply::Unreachable, "over its own link only");
     Ok(())
 }
+
+/// A host that forwards connections is stopped as planned: requests on them are not cut
+/// off, and idle ones don't hold the stop.
+#[tokio::test]
+async fn a_planned_stop_ends_no_request_that_is_forwarded() -> anyhow::Result<()> {
+    /// How long a planned stop may take; less than that without requests.
+    const STOP_LIMIT: Duration = Duration::from_millis(6_500);
+    let mut fleet = Fleet::start().await?;
+    fleet.cut(LinkCut::Refuse).await;
+    for target in fleet.env.targets.iter().filter(|target| target.is_engine()) {
+        // A stream takes some three seconds.
+        target.set_delay(Duration::from_millis(500));
+    }
+    let mut stopped = fleet.others.pop().context("a host")?;
+    let serving = fleet.serve(&fleet.cut, "/stream/1", "stop");
+    let stopping = async {
+        sleep(Duration::from_millis(900)).await;
+        let start = Instant::now();
+        stopped.terminate();
+        let ended = stopped.wait(Duration::from_secs(8)).await;
+        (ended, start.elapsed())
+    };
+    let (served, (ended, took)) = tokio::join!(serving, stopping);
+    assert_eq!(served, CUT_HOSTS.len() * REQUESTS);
+    assert_eq!(ended.context("it doesn't end")?.code(), Some(0));
+    assert!(took < STOP_LIMIT, "{took:?}");
+    Ok(())
+}
