Serve: what a response says of its target has a file of its own; links in the state dump

The state dump shows lost links, the number of known hosts and whether this host is cut off. Lost links are checked only while there are any, so that a host without wakes for nothing; the list of links is matched with the list of targets by a set, whose cost grows with their number instead of its square.

--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -103,6 +103,12 @@
         self.paths.get(&target).is_some_and(|path| path.check_at.is_some())
     }
 
+    /// Returns whether any link is lost.
+    #[must_use]
+    pub fn has_lost(&self) -> bool {
+        self.paths.values().any(|path| path.check_at.is_some())
+    }
+
     /// Returns whether this host has lost at least half of the links that it uses,
     /// while other hosts reach these targets.
     #[must_use]
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -30,13 +30,15 @@
 use http::HeaderMap;
 use http::Method;
 use http::Response;
-use http::StatusCode;
 use http::Uri;
 use http::uri::PathAndQuery;
 use hyper::body::Incoming;
 use smol_str::SmolStr;
 use tokio::time::sleep_until;
 
+use crate::answer::drop_misaligned;
+use crate::answer::is_answer_to;
+use crate::answer::record_load;
 use crate::app::App;
 use crate::attempts::Attempts;
 use crate::attempts::is_target_failure;
@@ -478,53 +480,6 @@
     }
 }
 
-/// Returns whether a response answers the request with this id. One that ran must
-/// say so: without an id it may be the late copy of another one's answer. So may a
-/// success without the target's signature.
-pub(crate) fn is_answer_to(id: &str, status: StatusCode, head: &ResponseHead) -> bool {
-    match &head.id {
-        Some(answered) => answered == id && (!status.is_success() || head.signature.is_some()),
-        None => head.not_run,
-    }
-}
-
-/// Drops the connections to a target on which another request's response has come:
-/// the one that was due follows it.
-pub(crate) fn drop_misaligned(app: &App, step: &str, id: &str, in_flight: &InFlight) {
-    let info = &in_flight.target().info;
-    app.clients.drop_pools(info.addr);
-    let peer = info.id.as_str();
-    log::warn!(event = "foreign_answer", step, id, peer; "dropped a response that belongs to another request or to none");
-}
-
-/// Records what a target's response states about the target.
-pub(crate) fn record_load(app: &App, in_flight: &InFlight, head: &ResponseHead) {
-    let targets = app.state.targets.load();
-    if let Some(load) = head.load {
-        targets.record_report(in_flight.target(), load, load, Duration::ZERO, Instant::now());
-    }
-    if head.wrong_target {
-        targets.record_failure(in_flight.target(), Instant::now());
-        return;
-    }
-    if head.leaving && in_flight.target().is_open() {
-        // Its heartbeats may say so later, or never.
-        in_flight.target().close();
-        let target = in_flight.target().info.id.as_str();
-        log::info!(event = "target_leaving", step = "call", target; "the target states that it is leaving");
-    }
-    // A refusal without a limit doesn't end one: a full target refuses before it
-    // states anything.
-    if head.not_run && head.rate_limit.is_none() {
-        return;
-    }
-    if targets.record_rate_limit(in_flight.target(), head.rate_limit, Instant::now()) {
-        app.state.target_limited.notify_one();
-        let (target, limit) = (in_flight.target().info.id.as_str(), head.rate_limit);
-        log::info!(event = "target_limit", step = "call", target, limit; "the target states another limit on requests a second");
-    }
-}
-
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -20,12 +20,12 @@
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
+use crate::answer::drop_misaligned;
+use crate::answer::is_answer_to;
+use crate::answer::record_load;
 use crate::app::App;
 use crate::attempts::is_failed_run;
-use crate::call::drop_misaligned;
-use crate::call::is_answer_to;
 use crate::call::log_attempt;
-use crate::call::record_load;
 use crate::target_clients::Connections;
 use crate::target_clients::Repeats;
 use crate::target_clients::TargetAttempt;
--- a/crates/serve/src/ops.rs
+++ b/crates/serve/src/ops.rs
@@ -19,6 +19,7 @@
 use serde_json::json;
 
 use crate::app::App;
+use crate::state::lock;
 
 /// Maximum number of targets, and of jobs of each partition, in a dump.
 const MAX_LISTED: usize = 500;
@@ -75,6 +76,7 @@
                 "id": t.info.id, "addr": t.info.addr, "open": t.is_open(),
                 "slots": t.info.slots, "in_flight": t.in_flight(), "others": others,
                 "report_age_ms": age.as_millis(), "slow": t.is_slow(),
+                "link_lost": app.relay.is_lost(t.info.addr),
             })
         })
         .collect();
@@ -88,6 +90,8 @@
         "config_version": shared.config_version(),
         "wanted": **shared.wanted.load(),
         "owned": *shared.owned.borrow(),
+        "known_hosts": lock(&app.relay.hosts).len(),
+        "cut_off": app.relay.is_cut_off(),
         "targets": targets_json,
         "jobs": jobs,
     })
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -1,6 +1,7 @@
 //! Connections to targets through other hosts, for targets that this host's own
 //! link doesn't reach.
 
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,6 +30,7 @@
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
@@ -63,6 +65,8 @@
     pub(crate) hosts: Mutex<HostTable>,
     paths: Mutex<PathTable>,
     targets: ArcSwap<TargetSet>,
+    /// Notified when a link is lost.
+    link_lost: Notify,
     /// Whether the other hosts may be asked: only a host that announces itself is
     /// answered.
     is_enabled: bool,
@@ -75,6 +79,7 @@
             hosts: Mutex::new(hosts),
             paths: Mutex::default(),
             targets: ArcSwap::from_pointee(TargetSet::empty(Instant::now())),
+            link_lost: Notify::new(),
             is_enabled: settings.relay.is_some(),
         }
     }
@@ -82,7 +87,8 @@
     /// Takes over the list of targets.
     pub(crate) fn set_targets(&self, targets: &Arc<TargetSet>) {
         self.targets.store(Arc::clone(targets));
-        lock(&self.paths).retain(|addr| targets.all().any(|target| target.info.addr == addr));
+        let listed: HashSet<_> = targets.all().map(|target| target.info.addr).collect();
+        lock(&self.paths).retain(|addr| listed.contains(&addr));
     }
 
     /// Returns what to do before a request is sent to a target.
@@ -118,8 +124,11 @@
         is_reached
     }
 
-    /// Checks which of the lost links are back.
+    /// Checks which of the lost links are back; waits for one if there is none.
     pub(crate) async fn check_lost_links(&self) {
+        if !lock(&self.paths).has_lost() {
+            self.link_lost.notified().await;
+        }
         let due = lock(&self.paths).take_due_checks(MAX_CHECKED, Instant::now());
         join_all(due.into_iter().map(|addr| self.check(addr))).await;
     }
@@ -203,6 +212,7 @@
 
     fn record_relayed(&self, peer: SocketAddr) {
         if lock(&self.paths).record_relayed(peer, Instant::now()) {
+            self.link_lost.notify_one();
             log::info!(event = "link_lost", step = "relay", target = self.name(peer); "another host reaches the target, this one does not");
         }
     }
--- a/crates/serve/src/relay_server.rs
+++ b/crates/serve/src/relay_server.rs
@@ -96,7 +96,7 @@
     frames.send(reply.to_bytes()).await?;
     let Some(mut target) = target else {
         let (origin, target) = (peer.ip().to_string(), request.target.as_str());
-        log::debug!(event = "relay_refused", step = "relay", origin, target; "{reply:?}");
+        log::info!(event = "relay_refused", step = "relay", origin, target; "{reply:?}");
         return Ok(());
     };
     let mut origin = into_stream(frames)?;
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -27,12 +27,12 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 
+use crate::answer::drop_misaligned;
+use crate::answer::is_answer_to;
+use crate::answer::record_load;
 use crate::app::App;
 use crate::call::OutgoingRequest;
-use crate::call::drop_misaligned;
-use crate::call::is_answer_to;
 use crate::call::log_attempt;
-use crate::call::record_load;
 use crate::exposure;
 use crate::exposure::Unanswered;
 use crate::response::Body;
