Clients: a link that is only slow doesn't count as lost

Suspected on reading: a link counted as lost as soon as another host's connection stood first. At a host whose connections are slow, for want of processor time or bandwidth, that would drop its idle connections and, at half of its links, its duties. Now the own connection goes on, and the link is lost when it fails.

clients::relay tries the ways in seven cases, one with a link that hangs: served at once, lost after its connection has failed.

--- a/crates/clients/src/path_connector.rs
+++ b/crates/clients/src/path_connector.rs
@@ -83,43 +83,59 @@
     peer: SocketAddr,
 ) -> Result<TcpStream, ConnectError> {
     let plan = relay.plan(peer);
-    let direct_start = async {
+    let mut direct = async move {
         if plan == ConnectPlan::RelayFirst {
             sleep(HEAD_START).await;
         }
         direct.await
-    };
-    let mut direct = std::pin::pin!(direct_start);
+    }
+    .boxed();
+    let mut relayed = relay.open(peer);
     let mut relay_delay =
         if plan == ConnectPlan::DirectFirst { HEAD_START } else { Duration::ZERO };
-    let mut failed = None;
-    // At most three rounds: the delay ends, one way fails, the other one ends.
-    let mut relayed = relay.open(peer);
-    let mut is_open_failed = false;
+    let mut direct_error = None;
+    let mut relay_failed = false;
     loop {
         tokio::select! {
-            connected = direct.as_mut(), if failed.is_none() => match connected {
+            connected = direct.as_mut(), if direct_error.is_none() => match connected {
                 Ok(stream) => {
                     relay.record_direct(peer);
                     return Ok(stream);
                 }
-                Err(e) if is_open_failed => return Err(e),
+                Err(e) if relay_failed => return Err(e),
                 Err(e) => {
                     relay_delay = Duration::ZERO;
-                    failed = Some(e);
+                    direct_error = Some(e);
                 }
             },
             () = sleep(relay_delay), if !relay_delay.is_zero() => relay_delay = Duration::ZERO,
-            opened = relayed.as_mut(), if relay_delay.is_zero() && !is_open_failed => {
-                match (opened, failed.take()) {
+            opened = relayed.as_mut(), if relay_delay.is_zero() && !relay_failed => {
+                match (opened, direct_error.take()) {
+                    (Ok(stream), None) if plan == ConnectPlan::DirectFirst => {
+                        tokio::spawn(record_outcome(direct, Arc::clone(&relay), peer));
+                        return Ok(stream);
+                    }
                     (Ok(stream), _) => {
                         relay.record_relayed(peer);
                         return Ok(stream);
                     }
                     (Err(_), Some(e)) => return Err(e),
-                    (Err(_), None) => is_open_failed = true,
+                    (Err(_), None) => relay_failed = true,
                 }
             }
         }
     }
 }
+
+/// Records how a connection over the own link ended that took longer than one through
+/// another host. It may only be slow.
+async fn record_outcome(
+    direct: BoxFuture<'static, Result<TcpStream, ConnectError>>,
+    relay: Arc<dyn Relay>,
+    peer: SocketAddr,
+) {
+    match direct.await {
+        Ok(_) => relay.record_direct(peer),
+        Err(_) => relay.record_relayed(peer),
+    }
+}
