--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod admission;
 mod choose;
+mod pick;
 mod rate_limit;
 mod registry;
 mod rendezvous;
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -26,6 +26,7 @@
 mod rate_limits;
 mod relay;
 mod relay_server;
+mod reports;
 mod response;
 mod resume;
 mod runner;
--- a/crates/serve/src/quarantine.rs
+++ b/crates/serve/src/quarantine.rs
@@ -6,11 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use cassia_clients::PartitionRef;
-use cassia_clients::StoreError;
-use cassia_clients::StoreErrorKind;
-use cassia_ids::Offset;
-use cassia_node::ReadBackoff;
 use cassia_quarantine::CrashedTarget;
 use cassia_quarantine::QuarantineRecord;
 use cassia_quarantine::QuarantineTable;
@@ -21,6 +18,8 @@
 use tokio::time::sleep;
 
 use crate::app::App;
+use crate::reports;
+use crate::reports::ReportReader;
 use crate::state::lock;
 
 /// The topic of the reports.
@@ -30,14 +29,6 @@
 /// How long the store may hold a read back until there are records. Short, so
 /// that a dead connection is detected before a request crashes many more targets.
 const LONG_POLL: Duration = Duration::from_secs(1);
-/// How long a response of the store may take beyond the long poll.
-const READ_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum timeout of a read, which grows while reads fail.
-const MAX_READ_TIMEOUT: Duration = Duration::from_secs(3);
-/// Timeout of an append.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Delay after a failed call; the backoff lengthens that of reads.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How long reports are collected for one append.
 const BATCH_DELAY: Duration = Duration::from_millis(5);
 /// Maximum number of reports that wait to be appended. In an outage of the store
@@ -93,7 +84,7 @@
     }
 
     fn report(&self, record: QuarantineRecord) {
-        self.apply(&record);
+        self.apply_record(&record);
         let mut queue = lock(&self.queue);
         if queue.waiting.len() < MAX_QUEUED {
             queue.waiting.push(record);
@@ -110,7 +101,7 @@
         let _ = confirmed.wait_for(|confirmed| *confirmed >= count).await;
     }
 
-    fn apply(&self, record: &QuarantineRecord) {
+    fn apply_record(&self, record: &QuarantineRecord) {
         let (QuarantineRecord::Crash { digest, .. } | QuarantineRecord::Cleared { digest }) =
             record;
         let now = Instant::now();
@@ -127,44 +118,32 @@
     }
 }
 
-/// Reads the reports of all hosts until the process ends.
-pub(crate) async fn read_reports(app: Arc<App>) {
-    let mut next = 0;
-    let mut backoff = ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT);
-    loop {
-        match read(&app, next, backoff.timeout()).await {
-            Ok(offset) => {
-                next = offset;
-                backoff.record_success();
-            }
-            Err(e) => {
-                if let StoreErrorKind::Expired { oldest } = e.kind {
-                    next = oldest;
-                } else {
-                    backoff.record_failure();
-                }
-                log::debug!(event = "store_away", step = e.step; "{e}");
-                sleep(backoff.delay(RETRY_DELAY, rand::random())).await;
-            }
-        }
+impl ReportReader for Quarantine {
+    fn topic(&self) -> PartitionRef<'static> {
+        REPORTS
     }
-}
 
-/// Reads the reports from an offset on, and returns the offset from which to
-/// read on.
-async fn read(app: &App, from: Offset, timeout: Duration) -> Result<Offset, StoreError> {
-    let deadline = Instant::now() + LONG_POLL + timeout;
-    let read = app.store.read(REPORTS, from, READ_MAX_KB, LONG_POLL, deadline).await?;
-    let next = read.start + read.records.len() as u64;
-    for record in read.records {
+    fn max_kb(&self) -> u32 {
+        READ_MAX_KB
+    }
+
+    fn wait(&self) -> Duration {
+        LONG_POLL
+    }
+
+    fn apply(&self, record: Bytes) {
         match QuarantineRecord::decode(record) {
-            Ok(record) => app.quarantine.apply(&record),
+            Ok(record) => self.apply_record(&record),
             Err(e) => {
                 log::warn!(event = "record_unreadable", step = "quarantine"; "{e}");
             }
         }
     }
-    Ok(next)
+}
+
+/// Reads the reports of all hosts until the process ends.
+pub(crate) async fn read_reports(app: Arc<App>) {
+    reports::read_all(app.store.as_ref(), &app.quarantine).await;
 }
 
 /// Appends this host's reports until the process ends.
@@ -180,13 +159,7 @@
         if records.is_empty() {
             continue;
         }
-        // Appended twice, a report counts once.
-        while let Err(e) =
-            app.store.append(REPORTS, &records, Instant::now() + APPEND_TIMEOUT).await
-        {
-            log::info!(event = "append_failed", step = e.step; "{e}");
-            sleep(RETRY_DELAY).await;
-        }
+        reports::append(app.store.as_ref(), REPORTS, &records).await;
         app.quarantine.confirmed.send_replace(count);
     }
 }
--- /dev/null
+++ b/crates/serve/src/reports.rs
@@ -0,0 +1,94 @@
+//! Reports that the hosts share through a topic of the store: each reads those of all
+//! hosts and appends its own.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use cassia_clients::PartitionRef;
+use cassia_clients::Store;
+use cassia_clients::StoreError;
+use cassia_clients::StoreErrorKind;
+use cassia_ids::Offset;
+use cassia_node::ReadBackoff;
+use tokio::time::sleep;
+
+/// How long a response of the store may take beyond the time that it waits for
+/// records.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum timeout of a read, which grows while reads fail.
+const MAX_READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout of an append.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Delay after a failed call; the backoff lengthens that of reads.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// What reads the reports of one topic.
+pub(crate) trait ReportReader: Send + Sync {
+    /// The topic.
+    fn topic(&self) -> PartitionRef<'static>;
+
+    /// Limit of one read, in kilobytes.
+    fn max_kb(&self) -> u32;
+
+    /// How long the store may hold the next read back until there are records.
+    fn wait(&self) -> Duration;
+
+    /// Applies a report. It must have the same effect if it comes again.
+    fn apply(&self, record: Bytes);
+
+    /// Records that the reports have been read to their end.
+    fn reached_end(&self) {}
+}
+
+/// Reads the reports of all hosts until the process ends.
+pub(crate) async fn read_all(store: &dyn Store, reader: &dyn ReportReader) {
+    let mut next = 0;
+    let mut backoff = ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT);
+    loop {
+        match read(store, reader, next, backoff.timeout()).await {
+            Ok(offset) => {
+                next = offset;
+                backoff.record_success();
+            }
+            Err(e) => {
+                if let StoreErrorKind::Expired { oldest } = e.kind {
+                    next = oldest;
+                } else {
+                    backoff.record_failure();
+                }
+                log::debug!(event = "store_away", step = e.step; "{e}");
+                sleep(backoff.delay(RETRY_DELAY, rand::random())).await;
+            }
+        }
+    }
+}
+
+/// Reads the reports from an offset on, and returns the offset from which to read on.
+async fn read(
+    store: &dyn Store,
+    reader: &dyn ReportReader,
+    from: Offset,
+    timeout: Duration,
+) -> Result<Offset, StoreError> {
+    let wait = reader.wait();
+    let deadline = Instant::now() + wait + timeout;
+    let read = store.read(reader.topic(), from, reader.max_kb(), wait, deadline).await?;
+    let next = read.start + read.records.len() as u64;
+    for record in read.records {
+        reader.apply(record);
+    }
+    if next >= read.end {
+        reader.reached_end();
+    }
+    Ok(next)
+}
+
+/// Appends this host's reports, however long that takes. Appended twice, a report
+/// counts once.
+pub(crate) async fn append(store: &dyn Store, topic: PartitionRef<'_>, records: &[Bytes]) {
+    while let Err(e) = store.append(topic, records, Instant::now() + APPEND_TIMEOUT).await {
+        log::info!(event = "append_failed", step = e.step; "{e}");
+        sleep(RETRY_DELAY).await;
+    }
+}
--- a/crates/serve/src/resume.rs
+++ b/crates/serve/src/resume.rs
@@ -6,13 +6,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
 use cassia_adapter::RequestHead;
 use cassia_clients::PartitionRef;
-use cassia_clients::StoreError;
-use cassia_clients::StoreErrorKind;
-use cassia_ids::Offset;
 use cassia_ids::Software;
-use cassia_node::ReadBackoff;
 use cassia_resume::ResumeDecision;
 use cassia_resume::StreamRecord;
 use cassia_resume::StreamTable;
@@ -28,6 +25,8 @@
 use tokio::time::timeout;
 
 use crate::app::App;
+use crate::reports;
+use crate::reports::ReportReader;
 use crate::response::Refusal;
 use crate::state::lock;
 
@@ -37,14 +36,6 @@
 const READ_MAX_KB: u32 = 512;
 /// How long the store may hold a read back until there are records.
 const LONG_POLL: Duration = Duration::from_secs(2);
-/// How long a response of the store may take beyond the long poll.
-const READ_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum timeout of a read, which grows while reads fail.
-const MAX_READ_TIMEOUT: Duration = Duration::from_secs(3);
-/// Timeout of an append.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Delay after a failed call; the backoff lengthens that of reads.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How long streams are collected for one append: the streams of a host that ends
 /// within this time of their first event can't be resumed.
 const BATCH_DELAY: Duration = Duration::from_millis(200);
@@ -183,55 +174,44 @@
     }
 }
 
-/// Reads the reports of all hosts until the process ends.
-pub(crate) async fn read_reports(app: Arc<App>) {
-    let mut next = 0;
-    let mut backoff = ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT);
-    loop {
-        match read(&app, next, backoff.timeout()).await {
-            Ok(offset) => {
-                next = offset;
-                backoff.record_success();
-            }
-            Err(e) => {
-                if let StoreErrorKind::Expired { oldest } = e.kind {
-                    next = oldest;
-                } else {
-                    backoff.record_failure();
-                }
-                log::debug!(event = "store_away", step = e.step; "{e}");
-                sleep(backoff.delay(RETRY_DELAY, rand::random())).await;
-            }
-        }
+impl ReportReader for Streams {
+    fn topic(&self) -> PartitionRef<'static> {
+        REPORTS
+    }
+
+    fn max_kb(&self) -> u32 {
+        READ_MAX_KB
+    }
+
+    fn wait(&self) -> Duration {
+        // The first reads must end although there are no records.
+        if *self.has_read_reports.borrow() { LONG_POLL } else { Duration::ZERO }
     }
-}
 
-/// Reads the reports from an offset on, and returns the offset from which to
-/// read on.
-async fn read(app: &App, from: Offset, timeout: Duration) -> Result<Offset, StoreError> {
-    let is_caught_up = *app.streams.has_read_reports.borrow();
-    // The first reads must end although there are no records.
-    let wait = if is_caught_up { LONG_POLL } else { Duration::ZERO };
-    let deadline = Instant::now() + wait + timeout;
-    let read = app.store.read(REPORTS, from, READ_MAX_KB, wait, deadline).await?;
-    let next = read.start + read.records.len() as u64;
-    for record in read.records {
+    fn apply(&self, record: Bytes) {
         match StreamRecord::decode(record) {
             Ok(record) => {
-                if lock(&app.streams.table).apply(&record, Instant::now()) {
-                    app.streams.queued.notify_one();
+                if lock(&self.table).apply(&record, Instant::now()) {
+                    self.queued.notify_one();
                 }
-                app.streams.read_count.send_modify(|count| *count += 1);
+                self.read_count.send_modify(|count| *count += 1);
             }
             Err(e) => {
                 log::warn!(event = "record_unreadable", step = "resume"; "{e}");
             }
         }
     }
-    if !is_caught_up && next >= read.end {
-        app.streams.has_read_reports.send_replace(true);
+
+    fn reached_end(&self) {
+        if !*self.has_read_reports.borrow() {
+            self.has_read_reports.send_replace(true);
+        }
     }
-    Ok(next)
+}
+
+/// Reads the reports of all hosts until the process ends.
+pub(crate) async fn read_reports(app: Arc<App>) {
+    reports::read_all(app.store.as_ref(), &app.streams).await;
 }
 
 /// Appends this host's reports until the process ends.
@@ -246,12 +226,6 @@
         if records.is_empty() {
             continue;
         }
-        // Appended twice, a report counts once.
-        while let Err(e) =
-            app.store.append(REPORTS, &records, Instant::now() + APPEND_TIMEOUT).await
-        {
-            log::info!(event = "append_failed", step = e.step; "{e}");
-            sleep(RETRY_DELAY).await;
-        }
+        reports::append(app.store.as_ref(), REPORTS, &records).await;
     }
 }
