--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -5,6 +5,7 @@
 
 mod harness;
 mod relayed;
+mod stopping;
 
 use std::path::Path;
 use std::time::Duration;
@@ -36,6 +37,7 @@
 async fn play(case: &str, folder: &Path) -> anyhow::Result<Verdict> {
     match case {
         "relayed" => relayed::run(folder).await,
+        "stopping" => stopping::run(folder).await,
         _ => anyhow::bail!("no such case: {case}"),
     }
 }
