--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 0 if the rule held, 1 if it was broken, and 2 if the case could
 //! not run.
 
+mod ended;
 mod harness;
 mod relayed;
 mod stopping;
@@ -36,6 +37,7 @@
 
 async fn play(case: &str, folder: &Path) -> anyhow::Result<Verdict> {
     match case {
+        "ended" => ended::run(folder).await,
         "relayed" => relayed::run(folder).await,
         "stopping" => stopping::run(folder).await,
         _ => anyhow::bail!("no such case: {case}"),
