--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 0 if the rule held, 1 if it was broken, and 2 if the case could
 //! not run.
 
+mod behind;
 mod ended;
 mod harness;
 mod relayed;
@@ -37,6 +38,7 @@
 
 async fn play(case: &str, folder: &Path) -> anyhow::Result<Verdict> {
     match case {
+        "behind" => behind::run(folder).await,
         "ended" => ended::run(folder).await,
         "relayed" => relayed::run(folder).await,
         "stopping" => stopping::run(folder).await,
