--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -7,6 +7,7 @@
 mod ended;
 mod harness;
 mod relayed;
+mod stalled;
 mod stopping;
 
 use std::path::Path;
@@ -41,6 +42,7 @@
         "behind" => behind::run(folder).await,
         "ended" => ended::run(folder).await,
         "relayed" => relayed::run(folder).await,
+        "stalled" => stalled::run(folder).await,
         "stopping" => stopping::run(folder).await,
         _ => anyhow::bail!("no such case: {case}"),
     }
