Stand-ins: a target that answers with given bytes; one reader of requests, one heartbeat

Needed for answers that end in ways the HTTP server of the other stand-ins can't: without a length, reset, or held in the middle. Four stand-ins built the same heartbeat and two read requests in their own ways; they share one each now.

--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -8,14 +8,15 @@
 use std::time::Duration;
 
 use serde_json::Value;
-use serde_json::json;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::raw::read_request;
+use crate::target_records::heartbeat;
+
 /// Size of one write.
 const CHUNK_BYTES: usize = 64 << 10;
 /// Time between two bytes of a response that stalls.
@@ -90,14 +91,8 @@
     /// Returns the next heartbeat.
     #[must_use]
     pub fn heartbeat(&self) -> Value {
-        let model = |name: &String| json!({"name": name, "version": 1, "adapters": []});
-        let models: Vec<_> = self.model.iter().map(model).collect();
-        json!({
-            "service": self.service, "address": self.addr.to_string(), "zone": "z1",
-            "version": "v1", "slot_count": 8, "state": "ready", "cold_left_ms": 0,
-            "stage": "hybrid", "models": models, "born": 1,
-            "sequence": self.counts.heartbeats.fetch_add(1, Ordering::Relaxed),
-        })
+        let count = self.counts.heartbeats.fetch_add(1, Ordering::Relaxed);
+        heartbeat(&self.service, self.addr, self.model.as_deref(), count)
     }
 
     /// Number of requests received so far.
@@ -136,14 +131,9 @@
 
 /// Reads one request and sends until the peer closes the connection.
 async fn send(mut stream: TcpStream, kind: Endless, counts: &Counts) -> io::Result<()> {
-    let head = read_head(&mut stream).await?;
+    let request = read_request(&mut stream).await?;
     counts.requests.fetch_add(1, Ordering::Relaxed);
-    let id = head
-        .lines()
-        .filter_map(|line| line.split_once(": "))
-        .find(|(name, _)| name.eq_ignore_ascii_case("attempt-id"))
-        .map_or("", |(_, id)| id);
-    let (start, repeated) = response(kind, id);
+    let (start, repeated) = response(kind, &request.id);
     stream.write_all(start.as_bytes()).await?;
     if kind == Endless::Stall {
         loop {
@@ -166,19 +156,6 @@
     }
 }
 
-async fn read_head(stream: &mut TcpStream) -> io::Result<String> {
-    let mut head = Vec::new();
-    while !head.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
-        let mut buf = [0; 4_096];
-        let count = stream.read(&mut buf).await?;
-        if count == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        head.extend_from_slice(&buf[..count]);
-    }
-    Ok(String::from_utf8_lossy(&head).into_owned())
-}
-
 /// Returns the start of a response, and what follows it without end; `#` stands
 /// for a number.
 fn response(kind: Endless, id: &str) -> (String, &'static str) {
--- a/crates/standin/src/late_copies.rs
+++ b/crates/standin/src/late_copies.rs
@@ -11,15 +11,15 @@
 use std::time::Duration;
 
 use serde_json::Value;
-use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::repeating::read_request;
+use crate::raw::read_request;
 use crate::server::lock;
+use crate::target_records::heartbeat;
 
 /// Time from a late copy to the answer that is due: the caller may have sent its
 /// next request by then.
@@ -76,18 +76,11 @@
     /// Returns the next heartbeat, as an instance of a service.
     #[must_use]
     pub fn heartbeat(&self, service: &str) -> Value {
-        let models = match &self.shared.kind {
-            RepeatedAnswers::Plain { .. } => json!([]),
-            RepeatedAnswers::Engine { model } => {
-                json!([{"name": model, "version": 1, "adapters": []}])
-            }
+        let model = match &self.shared.kind {
+            RepeatedAnswers::Plain { .. } => None,
+            RepeatedAnswers::Engine { model } => Some(model.as_str()),
         };
-        json!({
-            "service": service, "address": self.addr.to_string(), "zone": "z1", "version": "v1",
-            "slot_count": 8, "state": "ready", "cold_left_ms": 0, "stage": "hybrid",
-            "models": models, "born": 1,
-            "sequence": self.heartbeats.fetch_add(1, Ordering::Relaxed),
-        })
+        heartbeat(service, self.addr, model, self.heartbeats.fetch_add(1, Ordering::Relaxed))
     }
 
     /// Number of second copies sent so far.
@@ -126,7 +119,7 @@
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut last: Option<String> = None;
         loop {
-            let id = read_request(&mut stream).await?;
+            let id = read_request(&mut stream).await?.id;
             let answer = self.answer(&id);
             if let Some(last) = last.replace(answer.clone()) {
                 self.copies.fetch_add(1, Ordering::Relaxed);
--- a/crates/standin/src/repeating.rs
+++ b/crates/standin/src/repeating.rs
@@ -9,14 +9,15 @@
 use std::time::Duration;
 
 use serde_json::Value;
-use serde_json::json;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::raw::read_request;
+use crate::target_records::heartbeat;
+
 /// Delay of a late copy: the connection may be in use again by then.
 const LATE: Duration = Duration::from_millis(3);
 
@@ -59,11 +60,7 @@
     /// Returns the next heartbeat, as an instance of a service.
     #[must_use]
     pub fn heartbeat(&self, service: &str) -> Value {
-        json!({
-            "service": service, "address": self.addr.to_string(), "zone": "z1", "version": "v1",
-            "slot_count": 8, "state": "ready", "cold_left_ms": 0, "stage": "hybrid",
-            "models": [], "born": 1, "sequence": self.heartbeats.fetch_add(1, Ordering::Relaxed),
-        })
+        heartbeat(service, self.addr, None, self.heartbeats.fetch_add(1, Ordering::Relaxed))
     }
 
     /// Number of second copies sent so far.
@@ -95,7 +92,7 @@
 async fn serve(mut stream: TcpStream, kind: SecondCopy, copies: &AtomicU64) -> io::Result<()> {
     let mut last: Option<String> = None;
     loop {
-        let id = read_request(&mut stream).await?;
+        let id = read_request(&mut stream).await?.id;
         if let Some(last) = last.take() {
             copies.fetch_add(1, Ordering::Relaxed);
             stream.write_all(answer(&last, kind != SecondCopy::WithoutId).as_bytes()).await?;
@@ -129,21 +126,3 @@
         "HTTP/1.1 200 OK\r\n{id_field}response-stamp: s-{id}\r\ncontent-length: {len}\r\n\r\n{body}"
     )
 }
-
-/// Reads one request and returns its id.
-pub(crate) async fn read_request(stream: &mut TcpStream) -> io::Result<String> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await?);
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
-    let field = |name: &str| {
-        let fields = head.lines().filter_map(|line| line.split_once(": "));
-        let mut fields = fields.filter(|(found, _)| found.eq_ignore_ascii_case(name));
-        fields.next().map(|(_, value)| value.to_owned())
-    };
-    let len = field("content-length").and_then(|len| len.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; len];
-    stream.read_exact(&mut body).await?;
-    Ok(field("attempt-id").unwrap_or_default())
-}
--- a/crates/standin/src/target_records.rs
+++ b/crates/standin/src/target_records.rs
@@ -1,7 +1,11 @@
-//! What a target has received.
+//! What a target has received, and what it writes of itself.
 
+use std::net::SocketAddr;
 use std::time::Instant;
 
+use serde_json::Value;
+use serde_json::json;
+
 /// A request that ran on a target.
 #[derive(Clone, Debug)]
 pub struct RequestRun {
@@ -31,3 +35,19 @@
     /// Id of the engine.
     pub engine: String,
 }
+
+/// Returns the heartbeat of a target that is ready, in its first incarnation.
+pub(crate) fn heartbeat(
+    service: &str,
+    addr: SocketAddr,
+    model: Option<&str>,
+    sequence: u64,
+) -> Value {
+    let models: Vec<_> =
+        model.iter().map(|name| json!({"name": name, "version": 1, "adapters": []})).collect();
+    json!({
+        "service": service, "address": addr.to_string(), "zone": "z1", "version": "v1",
+        "slot_count": 8, "state": "ready", "cold_left_ms": 0, "stage": "hybrid",
+        "models": models, "born": 1, "sequence": sequence,
+    })
+}
--- a/crates/trials/src/host_links.rs
+++ b/crates/trials/src/host_links.rs
@@ -18,6 +18,8 @@
 pub struct HostLinks {
     store: Server,
     links: Vec<(Arc<TargetStandin>, Link)>,
+    /// Links to targets of other kinds.
+    other_links: Vec<Link>,
 }
 
 impl HostLinks {
@@ -27,6 +29,15 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(env: &PlatformEnv) -> io::Result<Self> {
+        Self::start_with(env, &[]).await
+    }
+
+    /// As `start`, with links to further targets, by id and address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start_with(env: &PlatformEnv, others: &[(&str, SocketAddr)]) -> io::Result<Self> {
         let mut links = Vec::new();
         let mut addrs = BTreeMap::new();
         for target in &env.targets {
@@ -34,7 +45,13 @@
             addrs.insert(target.id().to_owned(), link.addr());
             links.push((Arc::clone(target), link));
         }
-        Ok(Self { store: env.store.start_view(addrs).await?, links })
+        let mut other_links = Vec::new();
+        for (id, addr) in others {
+            let link = Link::start(free_addr()?, *addr).await?;
+            addrs.insert((*id).to_owned(), link.addr());
+            other_links.push(link);
+        }
+        Ok(Self { store: env.store.start_view(addrs).await?, links, other_links })
     }
 
     /// Returns the address at which the host reaches the store.
@@ -46,9 +63,10 @@
     /// Cuts the links to all targets.
     pub fn cut(&self, cut: LinkCut) {
         self.cut_where(cut, |_| true);
+        self.other_links.iter().for_each(|link| link.cut(cut));
     }
 
-    /// Cuts the links to some targets.
+    /// Cuts the links to some of the environment's targets.
     pub fn cut_where(&self, cut: LinkCut, is_cut: impl Fn(&TargetStandin) -> bool) {
         for (_, link) in self.links.iter().filter(|(target, _)| is_cut(target)) {
             link.cut(cut);
@@ -57,7 +75,7 @@
 
     /// Ends all cuts.
     pub fn heal(&self) {
-        for (_, link) in &self.links {
+        for link in self.links.iter().map(|(_, link)| link).chain(&self.other_links) {
             link.heal();
         }
     }
--- a/crates/trials/src/platform_env.rs
+++ b/crates/trials/src/platform_env.rs
@@ -10,6 +10,9 @@
 use bytes::Bytes;
 use cassia_standin::Endless;
 use cassia_standin::EndlessTarget;
+use cassia_standin::RawEnd;
+use cassia_standin::RawRequest;
+use cassia_standin::RawTarget;
 use cassia_standin::StoreStandin;
 use cassia_standin::TargetSpec;
 use cassia_standin::TargetStandin;
@@ -160,14 +163,39 @@
     ) -> io::Result<Arc<EndlessTarget>> {
         let model = (service == "lm").then_some(ENGINE_MODEL);
         let target = Arc::new(EndlessTarget::start("endless", service, model, kind).await?);
-        let (sender, store) = (Arc::clone(&target), Arc::clone(&self.store));
+        let sender = Arc::clone(&target);
+        self.list(target.id(), move || sender.heartbeat());
+        Ok(target)
+    }
+
+    /// Starts a target that answers with given bytes; it is listed as long as this
+    /// environment exists.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn add_raw_target(
+        &mut self,
+        id: &str,
+        service: &str,
+        script: impl Fn(&RawRequest) -> (String, RawEnd) + Send + Sync + 'static,
+    ) -> io::Result<Arc<RawTarget>> {
+        let model = (service == "lm").then_some(ENGINE_MODEL);
+        let target = Arc::new(RawTarget::start(id, service, model, Arc::new(script)).await?);
+        let sender = Arc::clone(&target);
+        self.list(id, move || sender.heartbeat());
+        Ok(target)
+    }
+
+    /// Writes heartbeats under this id at intervals.
+    fn list(&mut self, id: &str, heartbeat: impl Fn() -> Value + Send + 'static) {
+        let (id, store) = (id.to_owned(), Arc::clone(&self.store));
         self.heartbeats.push(tokio::spawn(async move {
             loop {
-                store.put("keyed.servers", sender.id(), Some(&sender.heartbeat()));
+                store.put("keyed.servers", &id, Some(&heartbeat()));
                 sleep(HEARTBEAT_INTERVAL).await;
             }
         }));
-        Ok(target)
     }
 
     /// Starts a process and waits until it is ready.
