--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -43,6 +43,7 @@
 pub use crate::log::LogPage;
 pub use crate::log::LogRecord;
 pub use crate::log_http::HttpLog;
+pub use crate::path_connector::PeerStream;
 pub use crate::path_connector::Relay;
 pub use crate::platform_http::HttpPlatform;
 pub use crate::reuse::Reuse;
--- a/crates/clients/src/limited_stream.rs
+++ b/crates/clients/src/limited_stream.rs
@@ -23,10 +23,10 @@
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 use tower_service::Service;
 
 use crate::path_connector::PathConnector;
+use crate::path_connector::PeerStream;
 use crate::reuse::Retired;
 
 /// How many bytes a connection may still read until the head of a response is
@@ -117,15 +117,14 @@
 }
 
 /// A connection with a limit.
-#[derive(Debug)]
 pub(crate) struct LimitedStream {
-    stream: TcpStream,
+    stream: Box<dyn PeerStream>,
     limit: HeadLimit,
 }
 
 impl Connection for LimitedStream {
     fn connected(&self) -> Connected {
-        self.stream.connected().extra(self.limit.clone()).extra(Retired::default())
+        Connected::new().extra(self.limit.clone()).extra(Retired::default())
     }
 }
 
--- a/crates/clients/src/path_connector.rs
+++ b/crates/clients/src/path_connector.rs
@@ -15,13 +15,22 @@
 use futures::future::BoxFuture;
 use http::Uri;
 use hyper_util::client::legacy::connect::HttpConnector;
-use tokio::net::TcpStream;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::time::sleep;
 use tower_service::Service;
 
 /// How long the preferred way has before the other one is begun too.
 const HEAD_START: Duration = Duration::from_millis(40);
 
+/// A connection to a peer, whichever way it takes.
+///
+/// A read returns no bytes only if the peer itself closed its side. If the connection
+/// broke off on the way, it fails.
+pub trait PeerStream: AsyncRead + AsyncWrite + Send + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Send + Unpin> PeerStream for T {}
+
 /// Opens connections through other hosts.
 #[async_trait]
 pub trait Relay: Debug + Send + Sync {
@@ -33,7 +42,7 @@
     /// # Errors
     ///
     /// No host that was asked made the connection in time.
-    async fn open(&self, peer: SocketAddr) -> io::Result<TcpStream>;
+    async fn open(&self, peer: SocketAddr) -> io::Result<Box<dyn PeerStream>>;
 
     /// Records that a connection over this host's own link was established.
     fn record_direct(&self, peer: SocketAddr);
@@ -65,10 +74,13 @@
     pub(crate) fn connect(
         &mut self,
         uri: Uri,
-    ) -> BoxFuture<'static, Result<TcpStream, ConnectError>> {
+    ) -> BoxFuture<'static, Result<Box<dyn PeerStream>, ConnectError>> {
         let peer = uri.authority().and_then(|authority| authority.as_str().parse().ok());
         let connecting = self.connector.call(uri);
-        let direct = async move { connecting.await.map(hyper_util::rt::TokioIo::into_inner) };
+        let direct = async move {
+            let stream: Box<dyn PeerStream> = Box::new(connecting.await?.into_inner());
+            Ok(stream)
+        };
         match (self.relay.clone(), peer) {
             (Some(relay), Some(peer)) => race(direct.boxed(), relay, peer).boxed(),
             _ => direct.boxed(),
@@ -78,10 +90,10 @@
 
 /// Returns the first connection that is established. Nothing is sent on the other.
 async fn race(
-    direct: BoxFuture<'static, Result<TcpStream, ConnectError>>,
+    direct: BoxFuture<'static, Result<Box<dyn PeerStream>, ConnectError>>,
     relay: Arc<dyn Relay>,
     peer: SocketAddr,
-) -> Result<TcpStream, ConnectError> {
+) -> Result<Box<dyn PeerStream>, ConnectError> {
     let plan = relay.plan(peer);
     let mut direct = async move {
         if plan == ConnectPlan::RelayFirst {
@@ -130,7 +142,7 @@
 /// Records how a connection over the own link ended that took longer than one through
 /// another host. It may only be slow.
 async fn record_outcome(
-    direct: BoxFuture<'static, Result<TcpStream, ConnectError>>,
+    direct: BoxFuture<'static, Result<Box<dyn PeerStream>, ConnectError>>,
     relay: Arc<dyn Relay>,
     peer: SocketAddr,
 ) {
--- a/crates/clients/tests/relay.rs
+++ b/crates/clients/tests/relay.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use cassia_clients::ErrorKind;
 use cassia_clients::HttpClient;
+use cassia_clients::PeerStream;
 use cassia_clients::Relay;
 use cassia_relay::ConnectPlan;
 use http::Request;
@@ -47,9 +48,10 @@
         self.plan
     }
 
-    async fn open(&self, _: SocketAddr) -> io::Result<TcpStream> {
+    async fn open(&self, _: SocketAddr) -> io::Result<Box<dyn PeerStream>> {
         self.record("asked");
-        TcpStream::connect(self.to.ok_or(io::ErrorKind::NotConnected)?).await
+        let stream = TcpStream::connect(self.to.ok_or(io::ErrorKind::NotConnected)?).await?;
+        Ok(Box::new(stream))
     }
 
     fn record_direct(&self, _: SocketAddr) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub use crate::hosts::HostEntry;
 pub use crate::hosts::HostTable;
 pub use crate::message::MessageError;
+pub use crate::message::RelayChunk;
 pub use crate::message::RelayReply;
 pub use crate::message::RelayRequest;
 pub use crate::paths::ConnectPlan;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,4 +1,7 @@
-//! What a host sends before a connection is forwarded, and what it announces.
+//! What the two hosts of a forwarded connection send each other.
+//!
+//! Hosts of earlier releases know no chunks. They ask for a plain connection, on which
+//! the target's bytes come as they are, and answer a request for chunks with one.
 
 use bytes::Bytes;
 use prost::Enumeration;
@@ -14,6 +17,21 @@
     /// Incarnation of the target.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// Whether the target's bytes may come in chunks, which say where they end.
+    #[prost(bool, tag = "3")]
+    pub accepts_chunks: bool,
+}
+
+/// Part of what a target sent.
+#[derive(Clone, Message, PartialEq)]
+pub struct RelayChunk {
+    /// The bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub data: Bytes,
+    /// Whether the target closed its side of the connection after them. A connection
+    /// that ends without this broke off.
+    #[prost(bool, tag = "2")]
+    pub is_last: bool,
 }
 
 /// The response to a request for a connection.
@@ -22,7 +40,7 @@
 pub enum RelayReply {
     /// The response can't be decoded.
     Invalid = 0,
-    /// The connection stands. All further bytes are its bytes.
+    /// The connection stands. All further bytes are its bytes, in both directions.
     Connected = 1,
     /// The host that was asked can't reach the target either.
     Unreachable = 2,
@@ -32,6 +50,9 @@
     Busy = 4,
     /// It doesn't know the host that asks.
     UnknownHost = 5,
+    /// The connection stands. The target's bytes come as messages of type
+    /// [`RelayChunk`].
+    ConnectedInChunks = 6,
 }
 
 #[derive(Clone, Message, PartialEq)]
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -5,35 +5,58 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::BufMut;
+use bytes::Bytes;
+use bytes::BytesMut;
+use cassia_relay::RelayChunk;
+use futures::SinkExt;
+use prost::Message;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 use tokio::net::tcp::WriteHalf;
 use tokio::time::sleep_until;
+use tokio_util::codec::FramedWrite;
 
+use crate::relay::MAX_CHUNK_BYTES;
+use crate::relay::codec;
 use crate::state::lock;
 
-/// Size of the buffer of each direction.
-const BUFFER_BYTES: usize = 4 << 10;
+/// How the target's bytes are sent to the host that asked for the connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Framing {
+    /// In chunks, the last of which says that it is.
+    Chunks,
+    /// As they are, to hosts that know no chunks.
+    Plain,
+}
 
-/// Forwards until both directions have ended or one fails. Once `stop` is over, the
-/// connection is closed as soon as it has been quiet for `quiet`: no request is under
-/// way on it then.
+/// Forwards until both directions have ended. Once `stop` is over, the connection is
+/// closed as soon as it has been quiet for `quiet`: no request is under way on it then.
+///
+/// # Errors
+///
+/// One direction failed, or the connection was closed in a stop. There may be more that
+/// the target would have sent.
 pub(crate) async fn forward(
     origin: &mut TcpStream,
     target: &mut TcpStream,
+    framing: Framing,
     stop: impl Future<Output = ()>,
     quiet: Duration,
 ) -> io::Result<()> {
     let last_bytes = Mutex::new(Instant::now());
-    let (mut from_origin, mut to_origin) = origin.split();
-    let (mut from_target, mut to_target) = target.split();
+    let (from_origin, to_origin) = origin.split();
+    let (from_target, to_target) = target.split();
+    let responses = async {
+        match framing {
+            Framing::Chunks => copy_in_chunks(from_target, to_origin, &last_bytes).await,
+            Framing::Plain => copy(from_target, to_origin, &last_bytes).await,
+        }
+    };
     let both = async {
-        tokio::try_join!(
-            copy(&mut from_origin, &mut to_target, &last_bytes),
-            copy(&mut from_target, &mut to_origin, &last_bytes),
-        )
+        tokio::try_join!(copy(from_origin, to_target, &last_bytes), responses).map(|_| ())
     };
     let quiet_after_stop = async {
         stop.await;
@@ -46,18 +69,18 @@
         }
     };
     tokio::select! {
-        ended = both => ended.map(|_| ()),
-        () = quiet_after_stop => Ok(()),
+        ended = both => ended,
+        () = quiet_after_stop => Err(io::ErrorKind::ConnectionAborted.into()),
     }
 }
 
 /// Copies one direction until it ends.
 async fn copy(
-    from: &mut ReadHalf<'_>,
-    to: &mut WriteHalf<'_>,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     last_bytes: &Mutex<Instant>,
 ) -> io::Result<()> {
-    let mut buf = vec![0; BUFFER_BYTES];
+    let mut buf = vec![0; MAX_CHUNK_BYTES];
     loop {
         let count = from.read(&mut buf).await?;
         *lock(last_bytes) = Instant::now();
@@ -67,3 +90,23 @@
         to.write_all(&buf[..count]).await?;
     }
 }
+
+/// Copies one direction in chunks until it ends.
+async fn copy_in_chunks(
+    mut from: ReadHalf<'_>,
+    to: WriteHalf<'_>,
+    last_bytes: &Mutex<Instant>,
+) -> io::Result<()> {
+    let mut frames = FramedWrite::new(to, codec());
+    let mut buf = BytesMut::new();
+    loop {
+        buf.reserve(MAX_CHUNK_BYTES);
+        let count = from.read_buf(&mut (&mut buf).limit(MAX_CHUNK_BYTES)).await?;
+        *lock(last_bytes) = Instant::now();
+        let chunk = RelayChunk { data: buf.split().freeze(), is_last: count == 0 };
+        frames.send(Bytes::from(chunk.encode_to_vec())).await?;
+        if chunk.is_last {
+            return frames.into_inner().shutdown().await;
+        }
+    }
+}
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -26,6 +26,7 @@
 mod rate_limits;
 mod relay;
 mod relay_server;
+mod relayed_stream;
 mod reports;
 mod response;
 mod resume;
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use bytes::Bytes;
+use cassia_clients::PeerStream;
 use cassia_clients::Relay;
 use cassia_ids::HostId;
 use cassia_relay::ConnectPlan;
@@ -37,6 +38,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::flags::ServeSettings;
+use crate::relayed_stream;
 use crate::state::lock;
 
 /// Maximum number of hosts that are asked for one connection.
@@ -49,8 +51,10 @@
 const MAX_CHECKED: usize = 16;
 /// How long a check of a link may take.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
-/// Size of a message between hosts.
-const MAX_FRAME_BYTES: usize = 1 << 10;
+/// Maximum number of a target's bytes in one message between hosts.
+pub(crate) const MAX_CHUNK_BYTES: usize = 4 << 10;
+/// Size of a message between hosts: a chunk and its encoding.
+const MAX_FRAME_BYTES: usize = MAX_CHUNK_BYTES + (1 << 10);
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which unacknowledged data or probes end a connection.
@@ -170,11 +174,12 @@
 
     /// Asks other hosts, one after the other without waiting long for any, and
     /// returns the first connection.
-    async fn open(&self, peer: SocketAddr) -> io::Result<TcpStream> {
+    async fn open(&self, peer: SocketAddr) -> io::Result<Box<dyn PeerStream>> {
         let target = self.find_target(peer).ok_or(io::ErrorKind::NotFound)?;
         let request = RelayRequest {
             target: target.info.id.to_string(),
             incarnation: target.info.incarnation,
+            accepts_chunks: true,
         };
         let deadline = Instant::now() + OPEN_TIMEOUT;
         let mut candidates = self.candidates().into_iter();
@@ -230,18 +235,19 @@
     host: HostId,
     addr: SocketAddr,
     request: RelayRequest,
-) -> (HostId, io::Result<TcpStream>) {
+) -> (HostId, io::Result<Box<dyn PeerStream>>) {
     (host, try_ask(addr, request).await)
 }
 
-async fn try_ask(addr: SocketAddr, request: RelayRequest) -> io::Result<TcpStream> {
+async fn try_ask(addr: SocketAddr, request: RelayRequest) -> io::Result<Box<dyn PeerStream>> {
     let stream = TcpStream::connect(addr).await?;
     prepare(&stream)?;
     let mut frames = frames(stream);
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     let frame = frames.next().await.transpose()?.ok_or(io::ErrorKind::UnexpectedEof)?;
     match RelayReply::decode(frame.freeze()) {
-        Ok(RelayReply::Connected) => into_stream(frames),
+        Ok(RelayReply::ConnectedInChunks) => into_stream(frames).map(relayed_stream::from_chunks),
+        Ok(RelayReply::Connected) => into_stream(frames).map(relayed_stream::from_plain),
         Ok(reply) => Err(io::Error::other(format!("{reply:?}"))),
         Err(e) => Err(io::Error::other(e)),
     }
@@ -249,12 +255,16 @@
 
 /// Creates the framing of the messages before a connection is forwarded.
 pub(crate) fn frames(stream: TcpStream) -> Frames {
-    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
-    Framed::new(stream, codec)
+    Framed::new(stream, codec())
 }
 
-/// Returns the connection after the messages. None of its bytes may have come with
-/// them.
+/// Creates the codec of all messages between hosts.
+pub(crate) fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+}
+
+/// Returns the connection after the first messages. No more may have come with them:
+/// the target's bytes answer a request that is still to be sent.
 pub(crate) fn into_stream(frames: Frames) -> io::Result<TcpStream> {
     let parts = frames.into_parts();
     if parts.read_buf.is_empty() { Ok(parts.io) } else { Err(io::ErrorKind::InvalidData.into()) }
--- a/crates/serve/src/relay_server.rs
+++ b/crates/serve/src/relay_server.rs
@@ -14,6 +14,7 @@
 use futures::SinkExt;
 use futures::StreamExt;
 use prost::Message;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -22,6 +23,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::app::App;
+use crate::forward::Framing;
 use crate::forward::forward;
 use crate::hosts;
 use crate::ingress::DRAIN_DELAY;
@@ -89,8 +91,9 @@
         Ok(_) if !app.state.is_stopping() => connect(app, &request).await,
         _ => Err(RelayReply::Busy),
     };
+    let framing = if request.accepts_chunks { Framing::Chunks } else { Framing::Plain };
     let (reply, target) = match connected {
-        Ok(target) => (RelayReply::Connected, Some(target)),
+        Ok(target) => (connected_reply(framing), Some(target)),
         Err(reply) => (reply, None),
     };
     frames.send(reply.to_bytes()).await?;
@@ -100,11 +103,22 @@
         return Ok(());
     };
     let mut origin = into_stream(frames)?;
+    // If the connection breaks off, or this process ends, the other host sees a reset
+    // and not an end, also one that knows no chunks.
+    SockRef::from(&origin).set_linger(Some(Duration::ZERO))?;
     let stop = async {
         app.state.wait_for_stop().await;
         sleep(DRAIN_DELAY).await;
     };
-    forward(&mut origin, &mut target, stop, QUIET_TIME).await
+    forward(&mut origin, &mut target, framing, stop, QUIET_TIME).await?;
+    SockRef::from(&origin).set_linger(None)
+}
+
+fn connected_reply(framing: Framing) -> RelayReply {
+    match framing {
+        Framing::Chunks => RelayReply::ConnectedInChunks,
+        Framing::Plain => RelayReply::Connected,
+    }
 }
 
 /// Returns whether a host that announced itself has this address. One that has just
--- a/crates/trials/tests/platform_lost_targets.rs
+++ b/crates/trials/tests/platform_lost_targets.rs
@@ -268,12 +268,13 @@
     let request = |target: &TargetStandin| RelayRequest {
         target: target.id().to_owned(),
         incarnation: target.heartbeat()["born"].as_u64().unwrap_or(0),
+        ..RelayRequest::default()
     };
     let service = &fleet.env.targets[2];
     let to = fleet.others[0].relay.context("an address")?;
     assert_eq!(ask(HOST, to, &request(service)).await?, RelayReply::Connected);
     assert_eq!(ask(STRANGER, to, &request(service)).await?, RelayReply::UnknownHost);
-    let unlisted = RelayRequest { target: "nobody".to_owned(), incarnation: 1 };
+    let unlisted = RelayRequest { target: "nobody".to_owned(), ..request(service) };
     assert_eq!(ask(HOST, to, &unlisted).await?, RelayReply::NotListed);
     let restarted = RelayRequest { incarnation: 1, ..request(service) };
     assert_eq!(ask(HOST, to, &restarted).await?, RelayReply::NotListed);
