--- a/crates/clients/src/path_connector.rs
+++ b/crates/clients/src/path_connector.rs
@@ -95,6 +95,11 @@
     peer: SocketAddr,
 ) -> Result<Box<dyn PeerStream>, ConnectError> {
     let plan = relay.plan(peer);
+    if plan == ConnectPlan::OwnLink {
+        let stream = direct.await?;
+        relay.record_direct(peer);
+        return Ok(stream);
+    }
     let mut direct = async move {
         if plan == ConnectPlan::RelayFirst {
             sleep(HEAD_START).await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,13 +12,14 @@
 //! use std::time::Instant;
 //! use cassia_relay::ConnectPlan;
 //! use cassia_relay::PathTable;
+//! use cassia_relay::Ways;
 //!
 //! let now = Instant::now();
 //! let target = "10.0.0.1:80".parse().unwrap();
 //! let mut paths = PathTable::default();
-//! assert_eq!(paths.plan(target, now), ConnectPlan::DirectFirst);
+//! assert_eq!(paths.plan(target, Ways::All, now), ConnectPlan::DirectFirst);
 //! paths.record_relayed(target, now);
-//! assert_eq!(paths.plan(target, now), ConnectPlan::RelayFirst);
+//! assert_eq!(paths.plan(target, Ways::All, now), ConnectPlan::RelayFirst);
 //! ```
 
 mod hosts;
@@ -34,3 +35,4 @@
 pub use crate::paths::ConnectPlan;
 pub use crate::paths::PathTable;
 pub use crate::paths::SendPlan;
+pub use crate::paths::Ways;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -20,6 +20,10 @@
     /// Whether the target's bytes may come in chunks, which say where they end.
     #[prost(bool, tag = "3")]
     pub accepts_chunks: bool,
+    /// How long after the reply bytes are passed on to the target, in milliseconds; 0
+    /// for as long as the connection lasts. Hosts that know no chunks keep no limit.
+    #[prost(uint32, tag = "4")]
+    pub send_within_ms: u32,
 }
 
 /// Part of what a target sent.
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -14,9 +14,21 @@
 /// Number of lost links from which on a host may count as cut off.
 const MIN_LOST: usize = 2;
 
+/// Which ways to a target may be used.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Ways {
+    /// This host's own link.
+    OwnLink,
+    /// The own link, and other hosts.
+    #[default]
+    All,
+}
+
 /// How a new connection to a target is begun.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ConnectPlan {
+    /// Over this host's own link only.
+    OwnLink,
     /// Over this host's own link, and through another host if that takes long or
     /// fails.
     DirectFirst,
@@ -41,6 +53,11 @@
     used_at: Option<Instant>,
     /// When to check next whether the link is back; `None` unless it is lost.
     check_at: Option<Instant>,
+    /// The ways that the last request could take.
+    ways: Ways,
+    /// Whether an idle connection may go through another host. It may also where the
+    /// link is only slow.
+    has_relayed: bool,
     is_changed: bool,
 }
 
@@ -52,22 +69,35 @@
 
 impl PathTable {
     /// Returns how to begin a new connection.
-    pub fn plan(&mut self, target: SocketAddr, now: Instant) -> ConnectPlan {
+    pub fn plan(&mut self, target: SocketAddr, ways: Ways, now: Instant) -> ConnectPlan {
         let path = self.paths.entry(target).or_default();
         path.used_at = Some(now);
-        if path.check_at.is_some() { ConnectPlan::RelayFirst } else { ConnectPlan::DirectFirst }
+        match (ways, path.check_at) {
+            (Ways::OwnLink, _) => ConnectPlan::OwnLink,
+            (Ways::All, Some(_)) => ConnectPlan::RelayFirst,
+            (Ways::All, None) => ConnectPlan::DirectFirst,
+        }
     }
 
     /// Returns what to do before a request is sent.
-    pub fn plan_send(&mut self, target: SocketAddr, now: Instant) -> SendPlan {
+    pub fn plan_send(&mut self, target: SocketAddr, ways: Ways, now: Instant) -> SendPlan {
         let path = self.paths.entry(target).or_default();
         path.used_at = Some(now);
+        let has_other_ways = std::mem::replace(&mut path.ways, ways) != ways;
+        path.is_changed |= has_other_ways && path.has_relayed;
+        path.has_relayed &= !path.is_changed;
         SendPlan {
             is_changed: std::mem::take(&mut path.is_changed),
             is_proven: path.heard_at.is_some_and(|at| now < at + PROOF_AGE),
         }
     }
 
+    /// Records that a connection through another host was opened, which may be used
+    /// again.
+    pub fn record_opened(&mut self, target: SocketAddr) {
+        self.paths.entry(target).or_default().has_relayed = true;
+    }
+
     /// Records that the target has answered, whichever way.
     pub fn record_heard(&mut self, target: SocketAddr, now: Instant) {
         self.paths.entry(target).or_default().heard_at = Some(now);
--- a/crates/relay/tests/paths.rs
+++ b/crates/relay/tests/paths.rs
@@ -6,6 +6,7 @@
 
 use cassia_relay::ConnectPlan;
 use cassia_relay::PathTable;
+use cassia_relay::Ways;
 use rstest::rstest;
 
 fn target(n: u8) -> SocketAddr {
@@ -16,10 +17,10 @@
 #[test]
 fn a_link_is_proven_only_shortly_after_an_answer() {
     let (start, mut paths) = (Instant::now(), PathTable::default());
-    assert!(!paths.plan_send(target(1), start).is_proven);
+    assert!(!paths.plan_send(target(1), Ways::All, start).is_proven);
     paths.record_heard(target(1), start);
-    assert!(paths.plan_send(target(1), start + Duration::from_millis(1_900)).is_proven);
-    assert!(!paths.plan_send(target(1), start + Duration::from_secs(2)).is_proven);
+    assert!(paths.plan_send(target(1), Ways::All, start + Duration::from_millis(1_900)).is_proven);
+    assert!(!paths.plan_send(target(1), Ways::All, start + Duration::from_secs(2)).is_proven);
 }
 
 /// Idle connections from before the change of the way are lost, or take the long way.
@@ -28,12 +29,28 @@
     let (now, mut paths) = (Instant::now(), PathTable::default());
     assert!(paths.record_relayed(target(1), now), "newly lost");
     assert!(!paths.record_relayed(target(1), now), "lost already");
-    assert!(paths.plan_send(target(1), now).is_changed);
-    assert!(!paths.plan_send(target(1), now).is_changed);
+    assert!(paths.plan_send(target(1), Ways::All, now).is_changed);
+    assert!(!paths.plan_send(target(1), Ways::All, now).is_changed);
     assert!(paths.record_direct(target(1), now), "it was lost");
     assert!(!paths.record_direct(target(1), now));
-    assert!(paths.plan_send(target(1), now).is_changed);
-    assert_eq!(paths.plan(target(1), now), ConnectPlan::DirectFirst);
+    assert!(paths.plan_send(target(1), Ways::All, now).is_changed);
+    assert_eq!(paths.plan(target(1), Ways::All, now), ConnectPlan::DirectFirst);
+}
+
+/// Idle connections through other hosts must not be used when only the own link may be.
+#[test]
+fn a_change_of_the_allowed_ways_is_told_once_each_time() {
+    let (now, mut paths) = (Instant::now(), PathTable::default());
+    assert!(!paths.plan_send(target(1), Ways::All, now).is_changed);
+    assert!(!paths.plan_send(target(1), Ways::OwnLink, now).is_changed, "none goes through others");
+    assert!(!paths.plan_send(target(1), Ways::All, now).is_changed);
+    paths.record_opened(target(1));
+    assert!(paths.plan_send(target(1), Ways::OwnLink, now).is_changed);
+    assert!(!paths.plan_send(target(1), Ways::OwnLink, now).is_changed);
+    paths.record_relayed(target(1), now);
+    assert_eq!(paths.plan(target(1), Ways::OwnLink, now), ConnectPlan::OwnLink);
+    assert!(paths.plan_send(target(1), Ways::All, now).is_changed);
+    assert_eq!(paths.plan(target(1), Ways::All, now), ConnectPlan::RelayFirst);
 }
 
 #[test]
@@ -65,7 +82,7 @@
 ) {
     let (now, mut paths) = (Instant::now(), PathTable::default());
     for n in 0..kept {
-        paths.plan_send(target(n), now);
+        paths.plan_send(target(n), Ways::All, now);
         paths.record_direct(target(n), now);
     }
     for n in 0..lost {
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -52,9 +52,10 @@
         response_budget: &Arc<ByteBudget>,
     ) -> Self {
         let page = MetricsPage::default();
-        let relay = Arc::new(HostRelay::new(settings));
+        let state = SharedState::new(settings);
+        let relay = Arc::new(HostRelay::new(settings, &state.store_contact));
         Self {
-            state: SharedState::new(settings),
+            state,
             job_log: JobLog::new(&store, settings.store_parts),
             quarantine: Quarantine::default(),
             streams: Streams::default(),
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -1,5 +1,6 @@
 //! Requests whose response is read completely before it is forwarded.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -44,11 +45,13 @@
 use crate::attempts::is_target_failure;
 use crate::exposure;
 use crate::exposure::Unanswered;
+use crate::job_requests::JobRequests;
 use crate::response::Body;
 use crate::response::Refusal;
 use crate::response::full_body;
 use crate::target_clients::Connections;
 use crate::target_clients::Repeats;
+use crate::target_clients::Sender;
 use crate::target_clients::TargetAttempt;
 
 /// A second target is tried if the first one has not answered after this
@@ -125,6 +128,8 @@
     /// Recognises a caller's request that comes again; `None` for requests of
     /// this process itself.
     pub(crate) digest: Option<RequestDigest>,
+    /// The job that makes the call; `None` for callers' requests.
+    pub(crate) job: Option<&'a JobRequests>,
     pub(crate) deadline: Instant,
     /// Until when the caller waits; not before `deadline`.
     pub(crate) caller_deadline: Instant,
@@ -146,7 +151,8 @@
     let caller_deadline = now + caller_timeout;
     let digest = Some(outgoing.digest(&head.host));
     let id = &head.id;
-    let call = Call { app, id, route, service, outgoing, digest, deadline, caller_deadline };
+    let job = None;
+    let call = Call { app, id, route, service, outgoing, digest, job, deadline, caller_deadline };
     let outcome = match route.kind {
         RouteKind::Idempotent => call.run_idempotent().await,
         _ => call.run_at_most_once().await,
@@ -355,6 +361,9 @@
         let Ok(request) = request else {
             return AttemptOutcome::NotRun;
         };
+        let Some(sender) = self.sender(info.addr).await else {
+            return AttemptOutcome::NotRun;
+        };
         let sent_at = Instant::now();
         let mut guard = UnansweredGuard::new(self.app, &in_flight, self.hedge_delay());
         // The caller of this function drops the future at the deadline: a
@@ -364,7 +373,7 @@
             step: "call",
             addr: info.addr,
             id: self.id,
-            repeats: self.repeats(),
+            sender,
             connections: self.connections(attempt),
         };
         match self.app.clients.send(attempt, request, deadline).await {
@@ -376,6 +385,14 @@
         }
     }
 
+    /// Returns for whom a request is sent to a target; `None` if it must not be sent.
+    async fn sender(&self, target: SocketAddr) -> Option<Sender> {
+        match self.job {
+            None => Some(Sender::Caller(self.repeats())),
+            Some(job) => job.ways(target).await.map(Sender::Job),
+        }
+    }
+
     async fn read_response(
         &self,
         in_flight: &InFlight,
@@ -398,7 +415,7 @@
             return AttemptOutcome::NotRun;
         }
         let deadline = self.deadline + DEADLINE_SLACK;
-        match self.app.clients.pooled().read_body("call", info.addr, response, deadline).await {
+        match self.app.clients.read_body("call", info.addr, response, deadline).await {
             Ok(response) => {
                 if let Some(digest) = self.digest {
                     self.app.quarantine.record_success(digest);
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -32,19 +32,28 @@
     Plain,
 }
 
+/// Limits on a forwarded connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ForwardLimits {
+    /// Until when bytes are passed on to the target; `None` for no limit.
+    pub(crate) send_until: Option<Instant>,
+    /// How long a connection must be without bytes to be closed in a planned stop.
+    pub(crate) quiet: Duration,
+}
+
 /// Forwards until both directions have ended. Once `stop` is over, the connection is
-/// closed as soon as it has been quiet for `quiet`: no request is under way on it then.
+/// closed as soon as it has been quiet for a while: no request is under way on it then.
 ///
 /// # Errors
 ///
-/// One direction failed, or the connection was closed in a stop. There may be more that
-/// the target would have sent.
+/// One direction failed, bytes for the target came too late, or the connection was
+/// closed in a stop. There may be more that the target would have sent.
 pub(crate) async fn forward(
     origin: &mut TcpStream,
     target: &mut TcpStream,
     framing: Framing,
     stop: impl Future<Output = ()>,
-    quiet: Duration,
+    limits: ForwardLimits,
 ) -> io::Result<()> {
     let last_bytes = Mutex::new(Instant::now());
     let (from_origin, to_origin) = origin.split();
@@ -52,16 +61,15 @@
     let responses = async {
         match framing {
             Framing::Chunks => copy_in_chunks(from_target, to_origin, &last_bytes).await,
-            Framing::Plain => copy(from_target, to_origin, &last_bytes).await,
+            Framing::Plain => copy(from_target, to_origin, None, &last_bytes).await,
         }
     };
-    let both = async {
-        tokio::try_join!(copy(from_origin, to_target, &last_bytes), responses).map(|_| ())
-    };
+    let requests = copy(from_origin, to_target, limits.send_until, &last_bytes);
+    let both = async { tokio::try_join!(requests, responses).map(|_| ()) };
     let quiet_after_stop = async {
         stop.await;
         loop {
-            let quiet_at = *lock(&last_bytes) + quiet;
+            let quiet_at = *lock(&last_bytes) + limits.quiet;
             if Instant::now() >= quiet_at {
                 return;
             }
@@ -74,10 +82,11 @@
     }
 }
 
-/// Copies one direction until it ends.
+/// Copies one direction until it ends; fails if bytes come after `until`.
 async fn copy(
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
+    until: Option<Instant>,
     last_bytes: &Mutex<Instant>,
 ) -> io::Result<()> {
     let mut buf = vec![0; MAX_CHUNK_BYTES];
@@ -87,6 +96,9 @@
         if count == 0 {
             return to.shutdown().await;
         }
+        if until.is_some_and(|until| Instant::now() >= until) {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
         to.write_all(&buf[..count]).await?;
     }
 }
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -26,8 +26,9 @@
 use crate::app::App;
 use crate::attempts::is_failed_run;
 use crate::call::log_attempt;
+use crate::job_requests::JobRequests;
 use crate::target_clients::Connections;
-use crate::target_clients::Repeats;
+use crate::target_clients::Sender;
 use crate::target_clients::TargetAttempt;
 
 /// Timeout of an item, as stated to the engine.
@@ -71,6 +72,7 @@
     pub(crate) app: &'a App,
     pub(crate) host: &'a str,
     pub(crate) model: &'a ModelName,
+    pub(crate) requests: &'a JobRequests,
     pub(crate) item: &'a Item,
     pub(crate) engine: &'a InFlight,
     /// The connections that it may use.
@@ -108,7 +110,6 @@
         let info = &self.engine.target().info;
         let (addr, id) = (info.addr, info.id.as_str());
         let after = text.last_event_id();
-        log_attempt(self.app, &self.item.id, self.engine, after.map_or(1, |_| 2));
         let request =
             item_request(addr, id, self.host, self.item, after, ITEM_PRIORITY, ITEM_TIMEOUT);
         let request = match request {
@@ -118,12 +119,16 @@
                 return RunOutcome::Impossible;
             }
         };
+        let Some(ways) = self.requests.ways(addr).await else {
+            return RunOutcome::Refused;
+        };
+        log_attempt(self.app, &self.item.id, self.engine, after.map_or(1, |_| 2));
         let deadline = Instant::now() + EVENT_TIMEOUT;
         let attempt = TargetAttempt {
             step: "generate",
             addr,
             id: &self.item.id,
-            repeats: Repeats::Allowed,
+            sender: Sender::Job(ways),
             connections: self.connections,
         };
         match self.app.clients.send(attempt, request, deadline).await {
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -173,7 +173,8 @@
     // A host that has lost the store serves plain requests only. Others, in
     // other data centres if need be, serve the callers better meanwhile.
     let state = &app.state;
-    let ready = state.routes.load().is_some() && !state.is_stopping() && !state.has_lost_store();
+    let ready =
+        state.routes.load().is_some() && !state.is_stopping() && !state.store_contact.has_lost();
     let status = match (req.uri().path(), ready) {
         (READY_PATH, true) => StatusCode::OK,
         (READY_PATH, false) => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -34,6 +34,7 @@
 use crate::clock::unix_ms;
 use crate::generate::Run;
 use crate::generate::RunOutcome;
+use crate::job_requests::JobRequests;
 use crate::slot::BreakOff;
 use crate::slot::Slot;
 use crate::slot::SlotWait;
@@ -79,6 +80,8 @@
     pub(crate) app: Arc<App>,
     pub(crate) partition: u32,
     pub(crate) submission: Submission,
+    /// The requests to targets.
+    pub(crate) requests: JobRequests,
     pub(crate) model: ModelName,
     tx: mpsc::UnboundedSender<JobOutput>,
     /// Number of expected output tokens from which on an item counts as long.
@@ -135,6 +138,7 @@
         let count = u64::try_from(tokens.len()).unwrap_or(u64::MAX).max(1);
         let mean_tokens = tokens.iter().sum::<u64>() / count;
         let model = SmolStr::new(&submission.model);
+        let requests = JobRequests::new(Arc::clone(&app), partition, submission.id.as_str().into());
         let next_wait_log = Mutex::new(Instant::now());
         let token_time = TokenTime::default();
         let progress = progress.into_iter().map(|progress| (progress.index, progress)).collect();
@@ -142,6 +146,7 @@
             app,
             partition,
             submission,
+            requests,
             model,
             tx,
             long_item_tokens,
@@ -306,6 +311,7 @@
                 app: &self.app,
                 host,
                 model: &self.model,
+                requests: &self.requests,
                 item,
                 engine,
                 connections: if break_off.is_some() {
@@ -390,7 +396,7 @@
         let id = item.id.as_str();
         let mut attempts = RetryState::default();
         loop {
-            self.wait_until_may_begin().await;
+            self.requests.wait_until_may_begin().await;
             let item_route = self.find_route(&self.submission.host, &item.path);
             if item_route.is_some_and(|route| self.is_past_retention(&route)) {
                 return Err(ItemOutcome::PastRetention);
@@ -459,6 +465,7 @@
             service,
             outgoing,
             digest: None,
+            job: Some(&self.requests),
             deadline,
             caller_deadline: deadline,
         };
--- a/crates/serve/src/job_calls.rs
+++ b/crates/serve/src/job_calls.rs
@@ -137,7 +137,7 @@
 /// Refuses a read at once where the store is known to be out of reach: another
 /// host may answer it.
 fn check_store(app: &App) -> Result<(), StoreError> {
-    if app.state.has_lost_store() {
+    if app.state.store_contact.has_lost() {
         let (kind, detail) = (StoreErrorKind::NotDone, "this host has lost the store".to_owned());
         return Err(StoreError { step: "read", kind, detail });
     }
--- a/crates/serve/src/ownership.rs
+++ b/crates/serve/src/ownership.rs
@@ -55,7 +55,7 @@
         match joined {
             Ok(assignment) => {
                 if std::mem::take(&mut store_failed) {
-                    app.state.store_back_at.send_replace(Some(Instant::now()));
+                    app.state.store_contact.record_back(Instant::now());
                 }
                 generation = assignment.generation;
                 let count = app.settings.store_parts;
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -21,6 +21,7 @@
 use cassia_relay::RelayReply;
 use cassia_relay::RelayRequest;
 use cassia_relay::SendPlan;
+use cassia_relay::Ways;
 use cassia_route::Target;
 use cassia_route::TargetSet;
 use futures::SinkExt;
@@ -40,11 +41,14 @@
 use crate::flags::ServeSettings;
 use crate::relayed_stream;
 use crate::state::lock;
+use crate::store_contact::StoreContact;
 
 /// Maximum number of hosts that are asked for one connection.
 const MAX_ASKED: usize = 8;
 /// How long a host has to answer before the next one is asked too.
 const ASK_INTERVAL: Duration = Duration::from_millis(40);
+/// How long a host that forwards passes on the bytes of a job's request.
+const JOB_SEND_TIME: Duration = Duration::from_millis(500);
 /// How long all of it may take.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(450);
 /// Maximum number of lost links that are checked at once.
@@ -69,6 +73,7 @@
     pub(crate) hosts: Mutex<HostTable>,
     paths: Mutex<PathTable>,
     targets: ArcSwap<TargetSet>,
+    store_contact: Arc<StoreContact>,
     /// Notified when a link is lost.
     link_lost: Notify,
     /// Whether the other hosts may be asked: only a host that announces itself is
@@ -77,12 +82,13 @@
 }
 
 impl HostRelay {
-    pub(crate) fn new(settings: &ServeSettings) -> Self {
+    pub(crate) fn new(settings: &ServeSettings, store_contact: &Arc<StoreContact>) -> Self {
         let hosts = HostTable::new(settings.host.clone(), settings.data_centre.clone());
         Self {
             hosts: Mutex::new(hosts),
             paths: Mutex::default(),
             targets: ArcSwap::from_pointee(TargetSet::empty(Instant::now())),
+            store_contact: Arc::clone(store_contact),
             link_lost: Notify::new(),
             is_enabled: settings.relay.is_some(),
         }
@@ -97,7 +103,14 @@
 
     /// Returns what to do before a request is sent to a target.
     pub(crate) fn plan_send(&self, addr: SocketAddr) -> SendPlan {
-        lock(&self.paths).plan_send(addr, Instant::now())
+        lock(&self.paths).plan_send(addr, self.ways(), Instant::now())
+    }
+
+    /// Returns the ways that callers' requests may take. A host that has lost the store
+    /// may act on what is no longer so: what it sends through others would come from
+    /// hosts that are held to know better.
+    fn ways(&self) -> Ways {
+        if self.store_contact.has_lost() { Ways::OwnLink } else { Ways::All }
     }
 
     /// Records that a target has answered.
@@ -121,6 +134,12 @@
         if self.check(addr).await {
             return false;
         }
+        self.confirm_unreached(addr).await
+    }
+
+    /// Finds out whether another host reaches a target to which this one just could not
+    /// connect.
+    pub(crate) async fn confirm_unreached(&self, addr: SocketAddr) -> bool {
         let is_reached = self.open(addr).await.is_ok();
         if is_reached {
             self.record_relayed(addr);
@@ -169,17 +188,85 @@
 #[async_trait]
 impl Relay for HostRelay {
     fn plan(&self, peer: SocketAddr) -> ConnectPlan {
-        lock(&self.paths).plan(peer, Instant::now())
+        lock(&self.paths).plan(peer, self.ways(), Instant::now())
+    }
+
+    async fn open(&self, peer: SocketAddr) -> io::Result<Box<dyn PeerStream>> {
+        let stream = self.open_for(peer, SendLimit::None).await?;
+        lock(&self.paths).record_opened(peer);
+        Ok(stream)
+    }
+
+    fn record_direct(&self, peer: SocketAddr) {
+        if lock(&self.paths).record_direct(peer, Instant::now()) {
+            log::info!(event = "link_back", step = "relay", target = self.name(peer); "this host reaches the target itself again");
+        }
     }
 
+    fn record_relayed(&self, peer: SocketAddr) {
+        if lock(&self.paths).record_relayed(peer, Instant::now()) {
+            self.link_lost.notify_one();
+            log::info!(event = "link_lost", step = "relay", target = self.name(peer); "another host reaches the target, this one does not");
+        }
+    }
+}
+
+/// Until when the other host passes on what this one sends on a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum SendLimit {
+    /// For as long as the connection lasts.
+    None,
+    /// For `JOB_SEND_TIME`.
+    JobRequest,
+}
+
+impl SendLimit {
+    fn as_millis(self) -> u32 {
+        match self {
+            Self::None => 0,
+            Self::JobRequest => u32::try_from(JOB_SEND_TIME.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+/// Connections of which each is for one request of a job: if that is held up on the way,
+/// the job may have ended before it gets there.
+#[derive(Debug)]
+pub(crate) struct JobRelay(pub(crate) Arc<HostRelay>);
+
+#[async_trait]
+impl Relay for JobRelay {
+    fn plan(&self, peer: SocketAddr) -> ConnectPlan {
+        self.0.plan(peer)
+    }
+
+    async fn open(&self, peer: SocketAddr) -> io::Result<Box<dyn PeerStream>> {
+        self.0.open_for(peer, SendLimit::JobRequest).await
+    }
+
+    fn record_direct(&self, peer: SocketAddr) {
+        self.0.record_direct(peer);
+    }
+
+    fn record_relayed(&self, peer: SocketAddr) {
+        self.0.record_relayed(peer);
+    }
+}
+
+impl HostRelay {
     /// Asks other hosts, one after the other without waiting long for any, and
     /// returns the first connection.
-    async fn open(&self, peer: SocketAddr) -> io::Result<Box<dyn PeerStream>> {
+    async fn open_for(
+        &self,
+        peer: SocketAddr,
+        limit: SendLimit,
+    ) -> io::Result<Box<dyn PeerStream>> {
         let target = self.find_target(peer).ok_or(io::ErrorKind::NotFound)?;
         let request = RelayRequest {
             target: target.info.id.to_string(),
             incarnation: target.info.incarnation,
             accepts_chunks: true,
+            send_within_ms: limit.as_millis(),
         };
         let deadline = Instant::now() + OPEN_TIMEOUT;
         let mut candidates = self.candidates().into_iter();
@@ -209,21 +296,6 @@
         }
     }
 
-    fn record_direct(&self, peer: SocketAddr) {
-        if lock(&self.paths).record_direct(peer, Instant::now()) {
-            log::info!(event = "link_back", step = "relay", target = self.name(peer); "this host reaches the target itself again");
-        }
-    }
-
-    fn record_relayed(&self, peer: SocketAddr) {
-        if lock(&self.paths).record_relayed(peer, Instant::now()) {
-            self.link_lost.notify_one();
-            log::info!(event = "link_lost", step = "relay", target = self.name(peer); "another host reaches the target, this one does not");
-        }
-    }
-}
-
-impl HostRelay {
     /// Returns a target's id, for logs.
     fn name(&self, addr: SocketAddr) -> String {
         self.find_target(addr).map_or_else(|| addr.to_string(), |target| target.info.id.to_string())
@@ -243,10 +315,14 @@
     let stream = TcpStream::connect(addr).await?;
     prepare(&stream)?;
     let mut frames = frames(stream);
+    let is_limited = request.send_within_ms > 0;
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     let frame = frames.next().await.transpose()?.ok_or(io::ErrorKind::UnexpectedEof)?;
     match RelayReply::decode(frame.freeze()) {
         Ok(RelayReply::ConnectedInChunks) => into_stream(frames).map(relayed_stream::from_chunks),
+        Ok(RelayReply::Connected) if is_limited => {
+            Err(io::Error::other("the host is of an earlier release and keeps no limit"))
+        }
         Ok(RelayReply::Connected) => into_stream(frames).map(relayed_stream::from_plain),
         Ok(reply) => Err(io::Error::other(format!("{reply:?}"))),
         Err(e) => Err(io::Error::other(e)),
--- a/crates/serve/src/relay_server.rs
+++ b/crates/serve/src/relay_server.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use anyhow::Context;
 use cassia_clients::Relay;
@@ -23,6 +24,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::app::App;
+use crate::forward::ForwardLimits;
 use crate::forward::Framing;
 use crate::forward::forward;
 use crate::hosts;
@@ -96,6 +98,7 @@
         Ok(target) => (connected_reply(framing), Some(target)),
         Err(reply) => (reply, None),
     };
+    let replied_at = Instant::now();
     frames.send(reply.to_bytes()).await?;
     let Some(mut target) = target else {
         let (origin, target) = (peer.ip().to_string(), request.target.as_str());
@@ -110,7 +113,12 @@
         app.state.wait_for_stop().await;
         sleep(DRAIN_DELAY).await;
     };
-    forward(&mut origin, &mut target, framing, stop, QUIET_TIME).await?;
+    let send_within = Duration::from_millis(request.send_within_ms.into());
+    let limits = ForwardLimits {
+        send_until: (!send_within.is_zero()).then(|| replied_at + send_within),
+        quiet: QUIET_TIME,
+    };
+    forward(&mut origin, &mut target, framing, stop, limits).await?;
     SockRef::from(&origin).set_linger(None)
 }
 
--- a/crates/serve/src/resume.rs
+++ b/crates/serve/src/resume.rs
@@ -110,7 +110,7 @@
     /// store none can, so the wait is short.
     pub(crate) async fn wait_until_announced(&self, app: &App, target: &Target) {
         let TargetKind::Service { name } = &target.info.kind else { return };
-        if app.state.store_lost_at.load().is_some() {
+        if app.state.store_contact.is_failing() {
             return;
         }
         let mut read = self.read_count.subscribe();
@@ -121,7 +121,7 @@
     /// Waits until this host knows every version that served when the call was made.
     async fn wait_until_current(&self, app: &App) -> Result<(), Refusal> {
         let now = Instant::now();
-        if app.state.store_lost_at.load().is_some() {
+        if app.state.store_contact.is_failing() {
             return Err(Refusal::UnknownSoftware);
         }
         let (mut list, mut reports) =
--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -53,7 +53,7 @@
     let mut jobs: HashMap<JobId, RunningJob> = HashMap::new();
     let mut snapshots = SnapshotWriter::new(Arc::clone(&app), partition);
     let mut follower = Follower::default();
-    let mut store_back = app.state.store_back_at.subscribe();
+    let mut store_back = app.state.store_contact.subscribe();
     // From here on every record is read as it is appended.
     if read_from_snapshot(&app, partition).await {
         start_jobs(&app, partition, &mut jobs, &tx).await;
--- a/crates/serve/src/slot.rs
+++ b/crates/serve/src/slot.rs
@@ -6,7 +6,6 @@
 
 use cassia_ids::Software;
 use cassia_ids::TargetId;
-use cassia_jobs::Job;
 use cassia_route::InFlight;
 use cassia_route::SlotPreference;
 use cassia_route::Target;
@@ -20,10 +19,6 @@
 
 /// Maximum wait for a notification of a free slot before checking again.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// How much older than the end of an outage the last complete read of a
-/// partition may be for its items to go on at once. It is less than the time
-/// in which the end of a job takes effect.
-const MAX_READ_AGE: Duration = Duration::from_secs(2);
 /// Time in which an engine that restarted is in the list again, and read.
 const RESTART_NOTICE: Duration = Duration::from_millis(1_500);
 /// How long an item waits for a slot before that is logged, and how often it
@@ -96,26 +91,6 @@
 }
 
 impl JobContext {
-    /// Returns whether runs and calls of items may begin: the job is open, as
-    /// far as the partition was read, and that is far enough.
-    ///
-    /// In an outage of the store items go on by what was read before. Once the
-    /// store is back, this process may have missed that the job was ended, and
-    /// reads the partition to its end first.
-    fn may_begin(&self) -> bool {
-        let log = self.app.job_log.partition(self.partition);
-        let back_at = *self.app.state.store_back_at.borrow();
-        let needed = back_at.and_then(|at| at.checked_sub(MAX_READ_AGE));
-        needed.is_none_or(|time| log.is_current_as_of(time))
-            && log.table().job(&self.submission.id).is_some_and(Job::is_open)
-    }
-
-    /// Waits until calls of items may begin. If the job is not open any more,
-    /// that is until the run of the job is aborted.
-    pub(crate) async fn wait_until_may_begin(&self) {
-        self.app.job_log.partition(self.partition).wait_until(|| self.may_begin()).await;
-    }
-
     /// Waits for a slot at an engine that may run the item; `None` if this
     /// process no longer owns the partition.
     ///
@@ -176,7 +151,7 @@
             }
         }
         let (id, job) = (self.item(index).id.as_str(), self.submission.id.as_str());
-        let (min_version, may_begin) = (self.submission.min_version, self.may_begin());
+        let (min_version, may_begin) = (self.submission.min_version, self.requests.may_begin());
         log::info!(event = "items_wait", step = "choose", id, job, min_version, engines, fit = eligible, may_begin; "no free slot at an engine with a new enough version, or the partition is not read");
     }
 
@@ -273,7 +248,7 @@
         preference: SlotPreference<'_>,
         is_allowed: impl Fn(&Target) -> bool,
     ) -> Option<Arc<Target>> {
-        if !self.may_begin() {
+        if !self.requests.may_begin() {
             return None;
         }
         let kind = self.target_kind(index)?;
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -4,8 +4,7 @@
 //! | --- | --- | --- |
 //! | `routes`, `wanted` | the configuration controller | all |
 //! | `targets`, `versions` | the targets controller, and requests by their outcomes | all |
-//! | `store_lost_at` | the targets controller | calls about batch jobs, readiness |
-//! | `store_back_at` | the ownership controller | the targets controller, runners and items |
+//! | `store_contact` | the targets and ownership controllers | readiness, calls about batch jobs, other controllers, connections |
 //! | `owned` | the ownership controller | the runners |
 //! | `duty_rank` | the ownership controller | the weights controller |
 //! | `stopping` | the main task | all |
@@ -14,6 +13,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -35,9 +35,7 @@
 use tokio::sync::watch;
 
 use crate::flags::ServeSettings;
-
-/// How long the store may be out of reach before a host counts as cut off.
-const STORE_LOSS_LIMIT: Duration = Duration::from_secs(1);
+use crate::store_contact::StoreContact;
 
 /// The weight versions that one incarnation of an engine is known to have.
 #[derive(Clone, Debug, Default)]
@@ -69,10 +67,8 @@
     pub(crate) stopping: watch::Sender<bool>,
     /// Whether a planned stop has served its last request.
     pub(crate) drained: watch::Sender<bool>,
-    /// When this process lost the store; `None` while it can read it.
-    pub(crate) store_lost_at: ArcSwapOption<Instant>,
-    /// When the store answered again after small calls to it had failed.
-    pub(crate) store_back_at: watch::Sender<Option<Instant>>,
+    /// Whether this process reaches the store.
+    pub(crate) store_contact: Arc<StoreContact>,
     /// Notified when a slot of an engine may have become free.
     pub(crate) slot_freed: Notify,
     /// Notified when a target begins or ceases to state a rate limit.
@@ -94,8 +90,7 @@
             owned: watch::Sender::new(BTreeSet::new()),
             stopping: watch::Sender::new(false),
             drained: watch::Sender::new(false),
-            store_lost_at: ArcSwapOption::empty(),
-            store_back_at: watch::Sender::new(None),
+            store_contact: Arc::default(),
             slot_freed: Notify::new(),
             target_limited: Notify::new(),
             versions: Mutex::default(),
@@ -111,13 +106,6 @@
         *self.stopping.borrow()
     }
 
-    /// Returns whether this process has not reached the store for a while. It
-    /// can answer nothing about batch jobs then.
-    pub(crate) fn has_lost_store(&self) -> bool {
-        let lost_at = self.store_lost_at.load();
-        lost_at.as_ref().is_some_and(|at| at.elapsed() >= STORE_LOSS_LIMIT)
-    }
-
     /// Waits until a planned stop begins.
     pub(crate) async fn wait_for_stop(&self) {
         let mut stopping = self.stopping.subscribe();
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -40,6 +40,7 @@
 use crate::resume;
 use crate::target_clients::Connections;
 use crate::target_clients::Repeats;
+use crate::target_clients::Sender;
 use crate::target_clients::TargetAttempt;
 
 /// Handles a caller's request whose response is a stream.
@@ -114,7 +115,7 @@
             step: "stream",
             addr: info.addr,
             id: &head.id,
-            repeats: Repeats::AtMostOnce,
+            sender: Sender::Caller(Repeats::AtMostOnce),
             connections: Connections::Proven,
         };
         match app.clients.send(attempt, request, deadline).await {
--- a/crates/serve/src/target_clients.rs
+++ b/crates/serve/src/target_clients.rs
@@ -15,10 +15,12 @@
 use cassia_adapter::decode_request_id;
 use cassia_adapter::decode_response_head;
 use cassia_clients::ByteBudget;
+use cassia_clients::ErrorKind;
 use cassia_clients::HttpClient;
 use cassia_clients::PlatformError;
 use cassia_clients::Reuse;
 use cassia_ids::RequestId;
+use cassia_relay::Ways;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -27,6 +29,7 @@
 use hyper::body::Incoming;
 
 use crate::relay::HostRelay;
+use crate::relay::JobRelay;
 use crate::state::lock;
 
 /// Number of answers that are remembered.
@@ -41,6 +44,16 @@
     AtMostOnce,
 }
 
+/// For whom a request is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Sender {
+    /// A caller.
+    Caller(Repeats),
+    /// A batch job, whose items and reward calls may run more than once. They may take
+    /// these ways.
+    Job(Ways),
+}
+
 /// Which connections a request may use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Connections {
@@ -60,7 +73,7 @@
     pub(crate) addr: SocketAddr,
     /// Id of the request.
     pub(crate) id: &'a str,
-    pub(crate) repeats: Repeats,
+    pub(crate) sender: Sender,
     pub(crate) connections: Connections,
 }
 
@@ -68,7 +81,7 @@
 #[derive(Debug)]
 pub(crate) struct TargetClients {
     relay: Arc<HostRelay>,
-    /// For requests that may run more than once, and items.
+    /// For callers' requests that may run more than once.
     pooled: HttpClient,
     /// For requests that must not. A refusal often has no id, so none of them may
     /// follow one on a connection.
@@ -76,12 +89,18 @@
     /// For reports. They have no id, but the late copy of one is an older report
     /// of the same target.
     reports: HttpClient,
-    /// For orders, whose responses have no id. Each has a connection of its own, over
-    /// this host's own link: an engine takes orders from one host at a time.
+    /// For orders, whose responses have no id, and requests of jobs that the target has
+    /// answered before. Each has a connection of its own, over this host's own link: an
+    /// engine takes orders from one host at a time.
     orders: HttpClient,
-    /// For requests that the target has answered before. Each has a connection of its
-    /// own.
+    /// For callers' requests that the target has answered before. Each has a connection
+    /// of its own.
     unshared: HttpClient,
+    /// For requests of jobs, over this host's own link.
+    jobs: HttpClient,
+    /// For requests of jobs to targets that the own link doesn't reach. Each has a
+    /// connection of its own.
+    relayed_jobs: HttpClient,
     /// The latest requests that targets answered, by address and id.
     answered: Mutex<VecDeque<(SocketAddr, RequestId)>>,
 }
@@ -98,6 +117,8 @@
             reports: direct(Reuse::Always),
             orders: direct(Reuse::Never),
             unshared: client(Reuse::Never),
+            jobs: direct(Reuse::Always),
+            relayed_jobs: direct(Reuse::Never).with_relay(Arc::new(JobRelay(Arc::clone(relay)))),
             answered: Mutex::default(),
         }
     }
@@ -110,11 +131,14 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, PlatformError> {
-        let TargetAttempt { step, addr, id, repeats, connections } = attempt;
-        let client = match repeats {
-            _ if self.was_answered(addr, id) => &self.unshared,
-            Repeats::Allowed => &self.pooled,
-            Repeats::AtMostOnce => &self.at_most_once,
+        let TargetAttempt { step, addr, id, sender, connections } = attempt;
+        let client = match (sender, self.was_answered(addr, id)) {
+            (Sender::Job(Ways::All), _) => &self.relayed_jobs,
+            (Sender::Job(Ways::OwnLink), true) => &self.orders,
+            (Sender::Job(Ways::OwnLink), false) => &self.jobs,
+            (Sender::Caller(_), true) => &self.unshared,
+            (Sender::Caller(Repeats::Allowed), false) => &self.pooled,
+            (Sender::Caller(Repeats::AtMostOnce), false) => &self.at_most_once,
         };
         let plan = self.relay.plan_send(addr);
         if plan.is_changed {
@@ -124,12 +148,32 @@
             client.drop_pool(addr);
         }
         let sent = client.send_any_status(step, addr, request, deadline).await;
-        if sent.is_ok() {
-            self.relay.record_heard(addr);
+        match &sent {
+            Ok(_) => self.relay.record_heard(addr),
+            // A caller's request would have gone through another host at once.
+            Err(e) if e.kind == ErrorKind::Connect && sender == Sender::Job(Ways::OwnLink) => {
+                self.relay.confirm_unreached(addr).await;
+            }
+            Err(_) => {}
         }
         sent
     }
 
+    /// Reads the whole body of a response.
+    pub(crate) async fn read_body(
+        &self,
+        step: &'static str,
+        addr: SocketAddr,
+        response: Response<Incoming>,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>, PlatformError> {
+        let read = self.pooled.read_body(step, addr, response, deadline).await;
+        if read.as_ref().is_err_and(|e| e.kind == ErrorKind::Timeout) {
+            self.drop_pools(addr);
+        }
+        read
+    }
+
     /// Records that a target ran a request and answered it. If it gets the request
     /// again, the late copy of this answer must not pass for the next.
     pub(crate) fn record_answer(&self, addr: SocketAddr, id: &str) {
@@ -149,6 +193,7 @@
     pub(crate) fn drop_pools(&self, addr: SocketAddr) {
         self.pooled.drop_pool(addr);
         self.at_most_once.drop_pool(addr);
+        self.jobs.drop_pool(addr);
     }
 
     /// Returns the client of requests that may run more than once.
--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -67,7 +67,7 @@
         version_changes: 0,
         log_versions_at: Instant::now(),
     };
-    let mut store_back = app.state.store_back_at.subscribe();
+    let mut store_back = app.state.store_contact.subscribe();
     loop {
         let began = Instant::now();
         let store_failed = controller.store_failed;
@@ -188,11 +188,11 @@
         self.recent_until = Instant::now() + MAX_CHANGES_AGE;
         self.backoff.record_success();
         if std::mem::take(&mut self.store_failed) {
-            app.state.store_lost_at.store(None);
+            app.state.store_contact.record_read();
             let now = Instant::now();
             // If other calls have succeeded for long, it was this topic that
             // was away.
-            let store_back_at = *app.state.store_back_at.borrow();
+            let store_back_at = app.state.store_contact.back_at();
             let is_recent = |at: &Instant| now < *at + MAX_STORE_BACK_AGE;
             self.registry.list_reconnected(store_back_at.filter(is_recent).unwrap_or(now));
             log::info!(event = "store_back", step = "targets"; "the store can be read again");
@@ -206,7 +206,7 @@
             self.backoff.record_failure();
         }
         if !std::mem::replace(&mut self.store_failed, true) {
-            app.state.store_lost_at.store(Some(Arc::new(began)));
+            app.state.store_contact.record_lost(began);
             log::warn!(event = "store_away", step = e.step; "{e}");
         }
     }
