--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use anyhow::Context;
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use cassia_adapter::decode_request_head;
 use cassia_route::CallerLimits;
 use cassia_route::RouteKind;
+use futures::FutureExt;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -28,7 +30,8 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::time::sleep;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::app::App;
@@ -46,11 +49,16 @@
 pub(crate) const DRAIN_DELAY: Duration = Duration::from_millis(2_300);
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// The least time that is left for the requests that have come when no more
+/// connections are accepted.
+const MIN_CLOSE_TIME: Duration = Duration::from_millis(1_500);
 
 /// The server for callers, with their open connections.
 #[derive(Debug)]
 pub(crate) struct Server {
     connections: TaskTracker,
+    /// Cancelled when no more connections are accepted.
+    closing: CancellationToken,
 }
 
 /// Starts to accept connections.
@@ -58,12 +66,20 @@
     settings: &crate::flags::ServeSettings,
     app: &Arc<App>,
 ) -> anyhow::Result<Server> {
-    let connections = TaskTracker::new();
+    let server = Server { connections: TaskTracker::new(), closing: CancellationToken::new() };
     let callers = bind(settings.listen).await?;
     let ready = bind(settings.ready).await?;
-    tokio::spawn(accept(callers, Arc::clone(app), connections.clone(), ListenerKind::Callers));
-    tokio::spawn(accept(ready, Arc::clone(app), TaskTracker::new(), ListenerKind::LoadBalancer));
-    Ok(Server { connections })
+    // Until it is closed, the listener counts as a connection.
+    server.connections.spawn(accept_callers(
+        callers,
+        Arc::clone(app),
+        server.connections.clone(),
+        server.closing.clone(),
+    ));
+    let probes = TaskTracker::new();
+    let app = Arc::clone(app);
+    tokio::spawn(async move { accept(&ready, &app, &probes, ListenerKind::LoadBalancer).await });
+    Ok(server)
 }
 
 /// Waits for a signal to stop, then sets `stopping`.
@@ -86,20 +102,43 @@
 }
 
 impl Server {
-    /// Waits until the load balancer opens no more connections, then for the
-    /// open ones to finish their requests; `limit` bounds the whole time.
-    pub(crate) async fn stop(self, limit: Duration) {
+    /// Goes on serving for as long as the load balancer may open connections, and
+    /// longer if it takes this process longer to end: where few hosts are ready, the
+    /// load balancer uses all. Returns at `deadline`, less the time that the requests
+    /// of the last connections may take, or when `other_work` has ended.
+    pub(crate) async fn serve_while(
+        &self,
+        app: &App,
+        other_work: impl Future<Output = ()>,
+        deadline: Instant,
+    ) {
         // Also if no connection is open: the load balancer may open some.
         sleep(DRAIN_DELAY).await;
+        let close_at = deadline.checked_sub(close_time(app)).unwrap_or_else(Instant::now);
+        let _ = timeout_at(close_at.into(), other_work).await;
+    }
+
+    /// Accepts no more connections, and waits for the open ones to finish their
+    /// requests.
+    pub(crate) async fn close(self, deadline: Instant) {
+        self.closing.cancel();
         self.connections.close();
-        let remaining = limit.saturating_sub(DRAIN_DELAY);
-        if timeout(remaining, self.connections.wait()).await.is_err() {
+        if timeout_at(deadline.into(), self.connections.wait()).await.is_err() {
             let left = self.connections.len();
             log::warn!(event = "cut_off", step = "stop", left; "connections were aborted at the stop limit");
         }
     }
 }
 
+/// Returns how long the requests of the last connections may take: the longest time
+/// limit of a route.
+fn close_time(app: &App) -> Duration {
+    let table = app.state.routes.load();
+    let routes = table.iter().flat_map(|table| table.routes());
+    let answered = routes.filter(|route| route.kind != RouteKind::Job);
+    answered.map(|route| route.timeout()).max().unwrap_or_default().max(MIN_CLOSE_TIME)
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ListenerKind {
     Callers,
@@ -110,16 +149,33 @@
     TcpListener::bind(addr).await.with_context(|| format!("bind {addr}"))
 }
 
-async fn accept(
+/// Accepts callers' connections until the server is closing, also those that have
+/// come by then: their requests may be on the way.
+async fn accept_callers(
     listener: TcpListener,
     app: Arc<App>,
     connections: TaskTracker,
+    closing: CancellationToken,
+) {
+    let kind = ListenerKind::Callers;
+    tokio::select! {
+        () = accept(&listener, &app, &connections, kind) => {}
+        () = closing.cancelled() => {
+            let _ = accept(&listener, &app, &connections, kind).now_or_never();
+        }
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    app: &Arc<App>,
+    connections: &TaskTracker,
     kind: ListenerKind,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                connections.spawn(serve(stream, Arc::clone(&app), kind));
+                connections.spawn(serve(stream, Arc::clone(app), kind));
             }
             Err(e) => {
                 log::warn!(event = "accept_failed", step = "accept"; "{e}");
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -98,15 +98,23 @@
     tokio::spawn(quarantine::append_reports(Arc::clone(&app)));
     tokio::spawn(resume::read_reports(Arc::clone(&app)));
     tokio::spawn(resume::append_reports(Arc::clone(&app)));
-    let ownership = tokio::spawn(ownership::run(Arc::clone(&app)));
+    let runners = TaskTracker::new();
+    let ownership = runners.spawn(ownership::run(Arc::clone(&app)));
     let weights = tokio::spawn(weights::run(Arc::clone(&app)));
     ingress::wait_for_stop_signal(&app).await?;
     let deadline = Instant::now() + settings.stop_limit();
-    server.stop(settings.stop_limit()).await;
+    runners.close();
     forwarded.close();
+    let other_work = async {
+        runners.wait().await;
+        forwarded.wait().await;
+    };
+    server.serve_while(&app, other_work, deadline).await;
+    // What is left of the time is enough to hand the lease over.
+    app.state.drained.send_replace(true);
+    server.close(deadline).await;
     // Beyond the limit, requests of other hosts' callers are cut off too.
     let _ = timeout_at(deadline.into(), forwarded.wait()).await;
-    app.state.drained.send_replace(true);
     for (task, step) in [(ownership, "runners"), (weights, "orders")] {
         // In an outage of the store, results and the lease can't be handed on.
         // The jobs go on elsewhere without them, and the lease expires.
