--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -54,9 +54,10 @@
         let page = MetricsPage::default();
         let state = SharedState::new(settings);
         let relay = Arc::new(HostRelay::new(settings, &state.store_contact));
+        let job_log = JobLog::new(&store, &state.store_contact, settings.store_parts);
         Self {
             state,
-            job_log: JobLog::new(&store, settings.store_parts),
+            job_log,
             quarantine: Quarantine::default(),
             streams: Streams::default(),
             body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -3,23 +3,19 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use cassia_adapter::OPERATOR_TOPIC;
 use cassia_adapter::OperatorRecord;
 use cassia_adapter::decode_operator_record;
 use cassia_clients::KeyedRecord;
-use cassia_clients::PartitionRef;
-use cassia_clients::StoreError;
-use cassia_clients::StoreErrorKind;
 use cassia_ids::ModelName;
-use cassia_ids::Offset;
 use cassia_ids::Version;
 use cassia_node::ReadBackoff;
 use cassia_route::RouteTable;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::app::App;
+use crate::keyed_reader::KeyedReader;
 
 /// How long the store may hold a read back until there are records. Short, so
 /// that a dead connection is detected within the time in which a change must
@@ -27,66 +23,44 @@
 const LONG_POLL: Duration = Duration::from_secs(1);
 /// How long a response of the store may take beyond the long poll.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum timeout of reading the snapshot, which grows while reads fail.
+/// Maximum of that time, which grows while reads fail.
 const MAX_READ_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay after a failed read; the backoff lengthens it.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Runs until the process ends.
 pub(crate) async fn run(app: Arc<App>) {
-    let mut next = None;
+    let mut reader = KeyedReader::new(OPERATOR_TOPIC);
     let mut store_failed = false;
     let mut backoff = ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT);
+    let mut store_back = app.state.store_contact.subscribe();
     loop {
-        match read(&app, next, backoff.timeout()).await {
-            Ok(offset) => {
-                next = Some(offset);
+        let read = tokio::select! {
+            read = reader.read(app.store.as_ref(), LONG_POLL, backoff.timeout()) => read,
+            // A read that was sent before the store was back may never end.
+            _ = store_back.changed() => continue,
+        };
+        match read {
+            Ok(read) => {
+                read.into_records().iter().for_each(|record| apply(&app, record));
                 backoff.record_success();
                 if std::mem::take(&mut store_failed) {
                     log::info!(event = "store_back", step = "configuration"; "the store can be read again");
                 }
             }
             Err(e) => {
-                if matches!(e.kind, StoreErrorKind::Expired { .. }) {
-                    next = None;
-                } else {
-                    backoff.record_failure();
-                }
+                backoff.record_failure();
                 if !std::mem::replace(&mut store_failed, true) {
                     log::warn!(event = "store_away", step = e.step; "{e}");
                 }
                 // Not shortened by a planned stop, in which the reads go on.
-                sleep(backoff.delay(RETRY_DELAY, rand::random())).await;
+                let delay = backoff.delay(RETRY_DELAY, rand::random());
+                let _ = timeout(delay, store_back.changed()).await;
             }
         }
     }
 }
 
-/// Reads the snapshot, or the changes from `next` on, and returns the offset
-/// from which to read on.
-async fn read(app: &App, next: Option<Offset>, timeout: Duration) -> Result<Offset, StoreError> {
-    let (next, records) = match next {
-        None => {
-            let newest = app
-                .store
-                .snapshot(
-                    PartitionRef { topic: OPERATOR_TOPIC, partition: 0 },
-                    Instant::now() + timeout,
-                )
-                .await?;
-            (newest.next, newest.records)
-        }
-        Some(from) => {
-            let deadline = Instant::now() + LONG_POLL + READ_TIMEOUT;
-            app.store.changes(OPERATOR_TOPIC, from, LONG_POLL, deadline).await?
-        }
-    };
-    for record in &records {
-        apply(app, record);
-    }
-    Ok(next)
-}
-
 fn apply(app: &App, record: &KeyedRecord) {
     match decode_operator_record(record) {
         Ok(OperatorRecord::Config(table)) => install(app, table),
--- a/crates/serve/src/hosts.rs
+++ b/crates/serve/src/hosts.rs
@@ -8,14 +8,14 @@
 use cassia_clients::KeyedRecord;
 use cassia_clients::PartitionRef;
 use cassia_clients::StoreError;
-use cassia_clients::StoreErrorKind;
-use cassia_ids::Offset;
 use cassia_node::ReadBackoff;
 use cassia_relay::HostEntry;
 use prost::Message;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::app::App;
+use crate::keyed_reader::KeyedReader;
 use crate::state::lock;
 
 /// The topic of the announcements, by host.
@@ -39,14 +39,19 @@
 const MIN_REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How far the announcements are read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ReadPosition {
-    /// Offset from which to read on; `None` to read a snapshot.
-    next: Option<Offset>,
+    reader: KeyedReader,
     /// Until when no read is made for the sake of a host that is not known.
     refreshed_until: Option<Instant>,
 }
 
+impl Default for ReadPosition {
+    fn default() -> Self {
+        Self { reader: KeyedReader::new(HOSTS.topic), refreshed_until: None }
+    }
+}
+
 /// Whether a read found hosts that were not known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum NewHosts {
@@ -58,8 +63,14 @@
 pub(crate) async fn read_hosts(app: Arc<App>) {
     let mut backoff = ReadBackoff::new(CALL_TIMEOUT, MAX_READ_TIMEOUT);
     let mut interval = MIN_READ_INTERVAL;
+    let mut store_back = app.state.store_contact.subscribe();
     loop {
-        match read(&app, backoff.timeout()).await {
+        let read = tokio::select! {
+            read = read(&app, backoff.timeout()) => read,
+            // A read that was sent before the store was back may never end.
+            _ = store_back.changed() => continue,
+        };
+        match read {
             Ok(NewHosts::Some) => {
                 backoff.record_success();
                 interval = MIN_READ_INTERVAL;
@@ -73,7 +84,8 @@
                 log::debug!(event = "store_away", step = e.step; "{e}");
             }
         }
-        sleep(backoff.delay(interval, rand::random())).await;
+        let delay = backoff.delay(interval, rand::random());
+        let _ = timeout(delay, store_back.changed()).await;
     }
 }
 
@@ -82,11 +94,16 @@
     let Some(addr) = app.settings.relay else { return };
     let entry =
         HostEntry { addr: addr.to_string(), data_centre: app.state.data_centre.to_string() };
+    let mut store_back = app.state.store_contact.subscribe();
     while !app.state.is_stopping() {
         let deadline = Instant::now() + CALL_TIMEOUT;
         let put = app.store.put(HOSTS, &app.state.host, &entry.encode_to_vec(), deadline).await;
-        let delay = if put.is_ok() { ANNOUNCE_INTERVAL } else { RETRY_DELAY };
-        app.state.sleep_unless_stopping(delay).await;
+        let has_failed = put.is_err();
+        let delay = if has_failed { RETRY_DELAY } else { ANNOUNCE_INTERVAL };
+        tokio::select! {
+            () = app.state.sleep_unless_stopping(delay) => {}
+            _ = store_back.changed(), if has_failed => {}
+        }
     }
     // The host's next process announces itself again.
     let deadline = Instant::now() + CALL_TIMEOUT;
@@ -119,34 +136,18 @@
 }
 
 async fn read(app: &App, timeout: Duration) -> Result<NewHosts, StoreError> {
-    let deadline = Instant::now() + timeout;
-    let next = lock(&app.hosts_position).next;
-    let read = match next {
-        None => {
-            let newest = app.store.snapshot(HOSTS, deadline).await;
-            newest.map(|newest| (newest.next, newest.records))
-        }
-        Some(from) => app.store.changes(HOSTS.topic, from, Duration::ZERO, deadline).await,
-    };
-    let (next, records) = match read {
-        Ok(read) => read,
-        Err(e) => {
-            if matches!(e.kind, StoreErrorKind::Expired { .. }) {
-                lock(&app.hosts_position).next = None;
-            }
-            return Err(e);
-        }
-    };
+    let mut reader = lock(&app.hosts_position).reader;
+    let read = reader.read(app.store.as_ref(), Duration::ZERO, timeout).await;
+    lock(&app.hosts_position).reader = reader;
     let now = Instant::now();
     let mut hosts = lock(&app.relay.hosts);
     let mut new = NewHosts::None;
-    for KeyedRecord { key, value } in records {
+    for KeyedRecord { key, value } in read?.into_records() {
         let entry = value.and_then(|value| HostEntry::decode(value).ok());
         if hosts.apply(&key, entry.as_ref(), now) {
             new = NewHosts::Some;
         }
     }
     hosts.record_read(now);
-    lock(&app.hosts_position).next = Some(next);
     Ok(new)
 }
--- a/crates/serve/src/job_log.rs
+++ b/crates/serve/src/job_log.rs
@@ -26,6 +26,7 @@
 use futures::stream;
 
 use crate::partition_log::PartitionLog;
+use crate::store_contact::StoreContact;
 
 /// The store's overhead of a record in a read, in bytes.
 const RECORD_OVERHEAD_BYTES: u64 = 4;
@@ -59,8 +60,15 @@
 }
 
 impl JobLog {
-    pub(crate) fn new(store: &Arc<dyn Store>, partition_count: u32) -> Self {
-        let log = |partition| Arc::new(PartitionLog::new(Arc::clone(store), partition));
+    pub(crate) fn new(
+        store: &Arc<dyn Store>,
+        store_contact: &Arc<StoreContact>,
+        partition_count: u32,
+    ) -> Self {
+        let log = |partition| {
+            let (store, store_contact) = (Arc::clone(store), Arc::clone(store_contact));
+            Arc::new(PartitionLog::new(store, store_contact, partition))
+        };
         Self { partitions: (0..partition_count).map(log).collect() }
     }
 
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -19,6 +19,7 @@
 mod job_calls;
 mod job_log;
 mod job_requests;
+mod keyed_reader;
 mod ops;
 mod order;
 mod ownership;
--- a/crates/serve/src/ownership.rs
+++ b/crates/serve/src/ownership.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_clients::Assignment;
+use cassia_clients::StoreError;
 use cassia_jobs::JOBS_TOPIC;
 use cassia_jobs::duty_rank;
 use cassia_jobs::lead_partition;
@@ -14,6 +16,7 @@
 
 use crate::app::App;
 use crate::runner;
+use crate::store_contact::StoreContact;
 
 /// Consumer group of the processes that run batch jobs.
 const GROUP: &str = "runners";
@@ -33,52 +36,34 @@
 /// member meanwhile: they run the jobs and give the orders better.
 pub(crate) async fn run(app: Arc<App>) {
     let mut generation = 0;
-    let mut store_failed = false;
     let mut has_left = false;
     let mut runners: BTreeMap<u32, JoinHandle<()>> = BTreeMap::new();
+    let mut contact = SmallCalls::new(&app);
     while !app.state.is_stopping() {
-        if app.relay.is_cut_off() {
+        let interval = if app.relay.is_cut_off() {
             if !std::mem::replace(&mut has_left, true) {
                 set_owned(&app, &mut runners, BTreeSet::new(), generation);
                 app.state.duty_rank.store(None);
-                leave(&app).await;
             }
-            app.state.sleep_unless_stopping(RENEW_INTERVAL).await;
-            continue;
-        }
-        has_left = false;
-        let deadline = Instant::now() + CALL_TIMEOUT;
-        let joined = app
-            .store
-            .join(GROUP, &app.state.host, JOBS_TOPIC, MEMBER_TTL, generation, deadline)
-            .await;
-        match joined {
-            Ok(assignment) => {
-                if std::mem::take(&mut store_failed) {
-                    app.state.store_contact.record_back(Instant::now());
-                }
+            // Again each time: the call shows whether the store answers.
+            contact.record(&leave(&app).await)
+        } else {
+            has_left = false;
+            let joined = join(&app, generation).await;
+            if let Ok(assignment) = &joined {
                 generation = assignment.generation;
-                let count = app.settings.store_parts;
-                let is_run_here = |partition: &u32| {
-                    assignment.partitions.contains(&lead_partition(*partition, count))
-                };
-                let owned = (0..count).filter(is_run_here).collect();
-                let ranks = assignment.partitions.iter().filter_map(|p| duty_rank(*p, count));
-                app.state.duty_rank.store(ranks.min().map(Arc::new));
-                set_owned(&app, &mut runners, owned, generation);
+                take_over(&app, &mut runners, assignment);
             }
             // The partitions are kept until the store reassigns them. If two
             // processes run the same job meanwhile, that only costs work.
-            Err(e) => {
-                store_failed = true;
-                log::debug!(event = "join_failed", step = e.step; "{e}");
-            }
-        }
-        let interval = if store_failed { RETRY_INTERVAL } else { RENEW_INTERVAL };
+            contact.record(&joined)
+        };
         app.state.sleep_unless_stopping(interval).await;
     }
     set_owned(&app, &mut runners, BTreeSet::new(), generation);
-    leave(&app).await;
+    if let Err(e) = leave(&app).await {
+        log::warn!(event = "leave_failed", step = e.step; "{e}");
+    }
     for (_, runner) in runners {
         // Runners end by themselves once their running items are done; the
         // program's stop limit bounds this.
@@ -88,13 +73,52 @@
     }
 }
 
-async fn leave(app: &App) {
-    let deadline = Instant::now() + CALL_TIMEOUT;
-    if let Err(e) = app.store.leave(GROUP, &app.state.host, deadline).await {
-        log::warn!(event = "leave_failed", step = e.step; "{e}");
+/// What came of the small calls at intervals, which show first that the store is back.
+#[derive(Debug)]
+struct SmallCalls {
+    store_contact: Arc<StoreContact>,
+    has_failed: bool,
+}
+
+impl SmallCalls {
+    fn new(app: &App) -> Self {
+        Self { store_contact: Arc::clone(&app.state.store_contact), has_failed: false }
+    }
+
+    /// Records the result of a call; returns the delay before the next one.
+    fn record<T>(&mut self, result: &Result<T, StoreError>) -> Duration {
+        if let Err(e) = result {
+            self.has_failed = true;
+            log::debug!(event = "join_failed", step = e.step; "{e}");
+            return RETRY_INTERVAL;
+        }
+        if std::mem::take(&mut self.has_failed) {
+            self.store_contact.record_back(Instant::now());
+        }
+        RENEW_INTERVAL
     }
 }
 
+async fn join(app: &App, generation: u64) -> Result<Assignment, StoreError> {
+    let (host, deadline) = (&app.state.host, Instant::now() + CALL_TIMEOUT);
+    app.store.join(GROUP, host, JOBS_TOPIC, MEMBER_TTL, generation, deadline).await
+}
+
+async fn leave(app: &App) -> Result<(), StoreError> {
+    app.store.leave(GROUP, &app.state.host, Instant::now() + CALL_TIMEOUT).await
+}
+
+/// Runs the partitions that were assigned to this process.
+fn take_over(app: &Arc<App>, runners: &mut BTreeMap<u32, JoinHandle<()>>, assignment: &Assignment) {
+    let count = app.settings.store_parts;
+    let is_run_here =
+        |partition: &u32| assignment.partitions.contains(&lead_partition(*partition, count));
+    let owned = (0..count).filter(is_run_here).collect();
+    let ranks = assignment.partitions.iter().filter_map(|p| duty_rank(*p, count));
+    app.state.duty_rank.store(ranks.min().map(Arc::new));
+    set_owned(app, runners, owned, assignment.generation);
+}
+
 fn set_owned(
     app: &Arc<App>,
     runners: &mut BTreeMap<u32, JoinHandle<()>>,
--- a/crates/serve/src/partition_log.rs
+++ b/crates/serve/src/partition_log.rs
@@ -34,6 +34,7 @@
 
 use crate::clock::unix_ms;
 use crate::state::lock;
+use crate::store_contact::StoreContact;
 
 /// How long a job is kept in memory after it was accepted, in milliseconds.
 const JOB_RETENTION_MS: u64 = 240_000;
@@ -48,6 +49,7 @@
 #[derive(Debug)]
 pub(crate) struct PartitionLog {
     store: Arc<dyn Store>,
+    store_contact: Arc<StoreContact>,
     partition: u32,
     table: Mutex<JobTable>,
     reader: Mutex<Reader>,
@@ -130,9 +132,14 @@
 }
 
 impl PartitionLog {
-    pub(crate) fn new(store: Arc<dyn Store>, partition: u32) -> Self {
+    pub(crate) fn new(
+        store: Arc<dyn Store>,
+        store_contact: Arc<StoreContact>,
+        partition: u32,
+    ) -> Self {
         Self {
             store,
+            store_contact,
             partition,
             table: Mutex::default(),
             reader: Mutex::default(),
@@ -207,6 +214,7 @@
 
     async fn run_reader(self: Arc<Self>) {
         let (started, mut reads) = (Instant::now(), 0_u32);
+        let mut store_back = self.store_contact.subscribe();
         loop {
             let began = Instant::now();
             let step = lock(&self.reader).next_step(began);
@@ -215,7 +223,11 @@
                 Step::Stop => break,
             };
             reads += 1;
-            let result = self.execute(read, began + limit).await;
+            let result = tokio::select! {
+                result = self.execute(read, began + limit) => result,
+                // A read that was sent before the store was back may never end.
+                _ = store_back.changed() => continue,
+            };
             let outcome = lock(&self.reader).record(began, result);
             self.stepped.notify_waiters();
             if matches!(outcome, ReadOutcome::TimedOut | ReadOutcome::Refused) {
--- a/crates/serve/src/quarantine.rs
+++ b/crates/serve/src/quarantine.rs
@@ -143,7 +143,7 @@
 
 /// Reads the reports of all hosts until the process ends.
 pub(crate) async fn read_reports(app: Arc<App>) {
-    reports::read_all(app.store.as_ref(), &app.quarantine).await;
+    reports::read_all(app.store.as_ref(), &app.state.store_contact, &app.quarantine).await;
 }
 
 /// Appends this host's reports until the process ends.
--- a/crates/serve/src/rate_limits.rs
+++ b/crates/serve/src/rate_limits.rs
@@ -12,8 +12,6 @@
 use cassia_clients::KeyedRecord;
 use cassia_clients::PartitionRef;
 use cassia_clients::StoreError;
-use cassia_clients::StoreErrorKind;
-use cassia_ids::Offset;
 use cassia_ids::TargetId;
 use cassia_limits::ClaimTable;
 use cassia_limits::HostClaims;
@@ -25,6 +23,7 @@
 
 use crate::app::App;
 use crate::call::millis;
+use crate::keyed_reader::KeyedReader;
 
 /// The topic of the hosts' claims, by host.
 const CLAIMS: PartitionRef<'static> = PartitionRef { topic: "keyed.claims", partition: 0 };
@@ -70,8 +69,7 @@
 #[derive(Debug)]
 struct RateLimitController {
     table: ClaimTable,
-    /// Offset from which to read on; `None` to read a snapshot.
-    next: Option<Offset>,
+    reader: KeyedReader,
     demands: BTreeMap<TargetId, Demand>,
     /// The claims to publish.
     claims: Vec<RateClaim>,
@@ -87,7 +85,7 @@
         let now = Instant::now();
         Self {
             table: ClaimTable::new(app.state.host.clone()),
-            next: None,
+            reader: KeyedReader::new(CLAIMS.topic),
             demands: BTreeMap::new(),
             claims: Vec::new(),
             published: Vec::new(),
@@ -142,9 +140,6 @@
             // The shares stay as they are: the other hosts can't change theirs
             // much without the store.
             Err(e) => {
-                if matches!(e.kind, StoreErrorKind::Expired { .. }) {
-                    self.next = None;
-                }
                 log::debug!(event = "claims_failed", step = e.step; "{e}");
             }
         }
@@ -169,16 +164,8 @@
     }
 
     async fn read(&mut self, app: &App) -> Result<(), StoreError> {
-        let deadline = Instant::now() + CALL_TIMEOUT;
-        let (next, records) = match self.next {
-            None => {
-                let newest = app.store.snapshot(CLAIMS, deadline).await?;
-                (newest.next, newest.records)
-            }
-            Some(from) => app.store.changes(CLAIMS.topic, from, Duration::ZERO, deadline).await?,
-        };
-        self.next = Some(next);
-        for record in records {
+        let read = self.reader.read(app.store.as_ref(), Duration::ZERO, CALL_TIMEOUT).await?;
+        for record in read.into_records() {
             self.apply(&record);
         }
         Ok(())
--- a/crates/serve/src/reports.rs
+++ b/crates/serve/src/reports.rs
@@ -12,6 +12,9 @@
 use cassia_ids::Offset;
 use cassia_node::ReadBackoff;
 use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::store_contact::StoreContact;
 
 /// How long a response of the store may take beyond the time that it waits for
 /// records.
@@ -42,23 +45,28 @@
 }
 
 /// Reads the reports of all hosts until the process ends.
-pub(crate) async fn read_all(store: &dyn Store, reader: &dyn ReportReader) {
+pub(crate) async fn read_all(store: &dyn Store, contact: &StoreContact, reader: &dyn ReportReader) {
     let mut next = 0;
     let mut backoff = ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT);
+    let mut store_back = contact.subscribe();
     loop {
-        match read(store, reader, next, backoff.timeout()).await {
+        let read = tokio::select! {
+            read = read(store, reader, next, backoff.timeout()) => read,
+            // A read that was sent before the store was back may never end.
+            _ = store_back.changed() => continue,
+        };
+        match read {
             Ok(offset) => {
                 next = offset;
                 backoff.record_success();
             }
+            // The store answers: the oldest records are read at once.
+            Err(StoreError { kind: StoreErrorKind::Expired { oldest }, .. }) => next = oldest,
             Err(e) => {
-                if let StoreErrorKind::Expired { oldest } = e.kind {
-                    next = oldest;
-                } else {
-                    backoff.record_failure();
-                }
+                backoff.record_failure();
                 log::debug!(event = "store_away", step = e.step; "{e}");
-                sleep(backoff.delay(RETRY_DELAY, rand::random())).await;
+                let delay = backoff.delay(RETRY_DELAY, rand::random());
+                let _ = timeout(delay, store_back.changed()).await;
             }
         }
     }
@@ -69,10 +77,10 @@
     store: &dyn Store,
     reader: &dyn ReportReader,
     from: Offset,
-    timeout: Duration,
+    limit: Duration,
 ) -> Result<Offset, StoreError> {
     let wait = reader.wait();
-    let deadline = Instant::now() + wait + timeout;
+    let deadline = Instant::now() + wait + limit;
     let read = store.read(reader.topic(), from, reader.max_kb(), wait, deadline).await?;
     let next = read.start + read.records.len() as u64;
     for record in read.records {
--- a/crates/serve/src/resume.rs
+++ b/crates/serve/src/resume.rs
@@ -211,7 +211,7 @@
 
 /// Reads the reports of all hosts until the process ends.
 pub(crate) async fn read_reports(app: Arc<App>) {
-    reports::read_all(app.store.as_ref(), &app.streams).await;
+    reports::read_all(app.store.as_ref(), &app.state.store_contact, &app.streams).await;
 }
 
 /// Appends this host's reports until the process ends.
--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -7,16 +7,15 @@
 use cassia_adapter::TARGET_TOPIC;
 use cassia_adapter::decode_heartbeat;
 use cassia_clients::KeyedRecord;
-use cassia_clients::PartitionRef;
 use cassia_clients::StoreError;
-use cassia_clients::StoreErrorKind;
-use cassia_ids::Offset;
 use cassia_ids::TargetId;
 use cassia_node::ReadBackoff;
 use cassia_route::TargetRegistry;
 use cassia_route::Update;
 
 use crate::app::App;
+use crate::keyed_reader::KeyedRead;
+use crate::keyed_reader::KeyedReader;
 
 /// How often the heartbeats are read. A read returns those of all targets;
 /// with long polling there would be a read for every single heartbeat.
@@ -38,8 +37,7 @@
 #[derive(Debug)]
 struct TargetsController {
     registry: TargetRegistry,
-    /// Offset from which to read on; `None` to read a snapshot.
-    next: Option<Offset>,
+    reader: KeyedReader,
     /// Until when the changes from there on are read rather than a snapshot.
     recent_until: Instant,
     /// Whether the last read failed.
@@ -59,7 +57,7 @@
 pub(crate) async fn run(app: Arc<App>) {
     let mut controller = TargetsController {
         registry: TargetRegistry::default(),
-        next: None,
+        reader: KeyedReader::new(TARGET_TOPIC),
         recent_until: Instant::now(),
         store_failed: false,
         has_pending_removals: false,
@@ -107,30 +105,20 @@
     }
 
     async fn read(&mut self, app: &App) -> Result<Update, StoreError> {
-        let next = self.next.filter(|_| Instant::now() < self.recent_until);
-        let records = match next {
-            None => {
-                let deadline = Instant::now() + self.backoff.timeout();
-                let newest = app
-                    .store
-                    .snapshot(PartitionRef { topic: TARGET_TOPIC, partition: 0 }, deadline)
-                    .await?;
-                self.record_success(app);
-                self.next = Some(newest.next);
-                let ids: Vec<TargetId> = newest.records.iter().map(|r| r.key.clone()).collect();
+        if Instant::now() >= self.recent_until {
+            self.reader.restart();
+        }
+        let timeout = self.backoff.timeout();
+        let read = self.reader.read(app.store.as_ref(), Duration::ZERO, timeout).await?;
+        self.record_success(app);
+        Ok(match read {
+            KeyedRead::Snapshot(records) => {
+                let ids: Vec<TargetId> = records.iter().map(|r| r.key.clone()).collect();
                 let changed = self.registry.retain_only(&ids, Instant::now());
-                return Ok(changed.max(self.apply_all(&newest.records)));
-            }
-            Some(from) => {
-                let (store, deadline) = (&app.store, Instant::now() + self.backoff.timeout());
-                let (next, records) =
-                    store.changes(TARGET_TOPIC, from, Duration::ZERO, deadline).await?;
-                self.record_success(app);
-                self.next = Some(next);
-                records
+                changed.max(self.apply_all(&records))
             }
-        };
-        Ok(self.apply_all(&records))
+            KeyedRead::Changes(records) => self.apply_all(&records),
+        })
     }
 
     fn apply_all(&mut self, records: &[KeyedRecord]) -> Update {
@@ -200,11 +188,7 @@
     }
 
     fn record_failure(&mut self, app: &App, e: &StoreError, began: Instant) {
-        if matches!(e.kind, StoreErrorKind::Expired { .. }) {
-            self.next = None;
-        } else {
-            self.backoff.record_failure();
-        }
+        self.backoff.record_failure();
         if !std::mem::replace(&mut self.store_failed, true) {
             app.state.store_contact.record_lost(began);
             log::warn!(event = "store_away", step = e.step; "{e}");
