Resume: an unknown stream needs the other hosts' reports as of now (a report, ORDER)

Another operator's callers got events of two software versions in one stream, at a host that had been out of step for seconds during a release. It can happen here: a host back from a cut reads the list of targets at once and the reports that it has missed later; if the engine that began the stream is gone from the list by then, the old version looks like the only one that can have begun it.

Change: the resumption waits for both as of its own time, and the reader of the reports is asked to read without waiting for records. Ruled out: streams that the host knows; a list that can't be read, which was refused already.

--- a/crates/serve/src/reports.rs
+++ b/crates/serve/src/reports.rs
@@ -11,6 +11,9 @@
 use cassia_clients::StoreErrorKind;
 use cassia_ids::Offset;
 use cassia_node::ReadBackoff;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use futures::future::pending;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -40,8 +43,15 @@
     /// Applies a report. It must have the same effect if it comes again.
     fn apply(&self, record: Bytes);
 
-    /// Records that the reports have been read to their end.
-    fn reached_end(&self) {}
+    /// Records that the reports have been read to their end, by a read that began at
+    /// this time.
+    fn reached_end(&self, _began: Instant) {}
+
+    /// Waits until somebody needs the reports sooner than a read that waits for records
+    /// may return them.
+    fn wait_until_needed(&self) -> BoxFuture<'_, ()> {
+        pending().boxed()
+    }
 }
 
 /// Reads the reports of all hosts until the process ends.
@@ -50,10 +60,12 @@
     let mut backoff = ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT);
     let mut store_back = contact.subscribe();
     loop {
+        let wait = reader.wait();
         let read = tokio::select! {
-            read = read(store, reader, next, backoff.timeout()) => read,
+            read = read(store, reader, next, wait, backoff.timeout()) => read,
             // A read that was sent before the store was back may never end.
             _ = store_back.changed() => continue,
+            () = reader.wait_until_needed(), if !wait.is_zero() => continue,
         };
         match read {
             Ok(offset) => {
@@ -77,17 +89,18 @@
     store: &dyn Store,
     reader: &dyn ReportReader,
     from: Offset,
+    wait: Duration,
     limit: Duration,
 ) -> Result<Offset, StoreError> {
-    let wait = reader.wait();
-    let deadline = Instant::now() + wait + limit;
+    let began = Instant::now();
+    let deadline = began + wait + limit;
     let read = store.read(reader.topic(), from, reader.max_kb(), wait, deadline).await?;
     let next = read.start + read.records.len() as u64;
     for record in read.records {
         reader.apply(record);
     }
     if next >= read.end {
-        reader.reached_end();
+        reader.reached_end(began);
     }
     Ok(next)
 }
--- a/crates/serve/src/resume.rs
+++ b/crates/serve/src/resume.rs
@@ -18,6 +18,8 @@
 use cassia_route::Target;
 use cassia_route::TargetKind;
 use cassia_route::TargetSet;
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -41,8 +43,8 @@
 const BATCH_DELAY: Duration = Duration::from_millis(200);
 /// How long the report of a version may take to be stored.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(200);
-/// How long a resumption waits for the list of targets to be read again.
-const LIST_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long a resumption waits for the list of targets and the reports to be read again.
+const CURRENT_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Where a request may run.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -60,8 +62,10 @@
     queued: Notify,
     /// When the newest successful read of the list of targets began.
     list_read_at: watch::Sender<Option<Instant>>,
-    /// Whether the reports of all hosts have been read to their end once.
-    has_read_reports: watch::Sender<bool>,
+    /// When the newest read began that reached the end of all hosts' reports.
+    reports_read_at: watch::Sender<Option<Instant>>,
+    /// As of when somebody needs the reports.
+    reports_needed_at: watch::Sender<Option<Instant>>,
     /// Number of reports that were read.
     read_count: watch::Sender<u64>,
 }
@@ -72,7 +76,8 @@
             table: Mutex::new(StreamTable::new(rand::random())),
             queued: Notify::new(),
             list_read_at: watch::Sender::new(None),
-            has_read_reports: watch::Sender::new(false),
+            reports_read_at: watch::Sender::new(None),
+            reports_needed_at: watch::Sender::new(None),
             read_count: watch::Sender::new(0),
         }
     }
@@ -118,20 +123,24 @@
         let _ = timeout(ANNOUNCE_TIMEOUT, read.wait_for(is_announced)).await;
     }
 
-    /// Waits until this host knows every version that served when the call was made.
+    /// Waits until this host knows every version that served when the call was made: those
+    /// that are listed, and those of which the other hosts' reports say that they began
+    /// streams. They may be gone from the list.
     async fn wait_until_current(&self, app: &App) -> Result<(), Refusal> {
         let now = Instant::now();
         if app.state.store_contact.is_failing() {
             return Err(Refusal::UnknownSoftware);
         }
+        self.reports_needed_at.send_modify(|needed| *needed = (*needed).max(Some(now)));
         let (mut list, mut reports) =
-            (self.list_read_at.subscribe(), self.has_read_reports.subscribe());
+            (self.list_read_at.subscribe(), self.reports_read_at.subscribe());
+        let is_current = |read_at: &Option<Instant>| read_at.is_some_and(|at| at >= now);
         let both = async {
             // The senders live as long as `self`.
-            let _ = list.wait_for(|read_at| read_at.is_some_and(|at| at >= now)).await;
-            let _ = reports.wait_for(|read| *read).await;
+            let _ = list.wait_for(is_current).await;
+            let _ = reports.wait_for(is_current).await;
         };
-        timeout(LIST_TIMEOUT, both).await.map_err(|_| Refusal::UnknownSoftware)
+        timeout(CURRENT_TIMEOUT, both).await.map_err(|_| Refusal::UnknownSoftware)
     }
 
     fn decide(&self, first: &str, services: &[SmolStr]) -> ResumeDecision {
@@ -185,7 +194,9 @@
 
     fn wait(&self) -> Duration {
         // The first reads must end although there are no records.
-        if *self.has_read_reports.borrow() { LONG_POLL } else { Duration::ZERO }
+        let read_at = *self.reports_read_at.borrow();
+        let is_needed = read_at.is_none() || read_at < *self.reports_needed_at.borrow();
+        if is_needed { Duration::ZERO } else { LONG_POLL }
     }
 
     fn apply(&self, record: Bytes) {
@@ -202,10 +213,18 @@
         }
     }
 
-    fn reached_end(&self) {
-        if !*self.has_read_reports.borrow() {
-            self.has_read_reports.send_replace(true);
+    fn reached_end(&self, began: Instant) {
+        self.reports_read_at.send_replace(Some(began));
+    }
+
+    fn wait_until_needed(&self) -> BoxFuture<'_, ()> {
+        let mut needed = self.reports_needed_at.subscribe();
+        async move {
+            let is_later = |at: &Option<Instant>| *at > *self.reports_read_at.borrow();
+            // The sender lives as long as `self`.
+            let _ = needed.wait_for(is_later).await;
         }
+        .boxed()
     }
 }
 
--- a/crates/trials/tests/platform_software_versions.rs
+++ b/crates/trials/tests/platform_software_versions.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::time::Duration;
+use std::time::Instant;
 
 use anyhow::Context;
 use cassia_resume::StreamRecord;
@@ -406,3 +407,49 @@
     assert_go_on(&resume_streams(&env, &processes[1], &begun).await);
     Ok(())
 }
+
+/// Guards against ORDER at a host that was out of step: it was cut off from the store
+/// while an engine of another version came, began streams through another host, and left.
+/// Then it reads the list sooner than the reports that it has missed.
+#[tokio::test]
+async fn a_host_back_from_a_cut_reads_the_reports_before_it_resumes_a_stream() -> anyhow::Result<()>
+{
+    /// Size of the reports that it has missed: seconds on its link.
+    const REPORTS: u64 = 120;
+    const STREAMS_PER_REPORT: u64 = 1_500;
+    /// Delay of each piece of at most 16 KiB that its link forwards.
+    const LINK_DELAY_MS: u64 = 40;
+    let mut env = env_without_engines().await?;
+    let old = env.add_engine_with_software("a1", EVENTS, "v2").await?;
+    let link = Proxy::start(env.store.addr()).await?;
+    let behind = env.start_process_with_store("h0", link.addr()).await?;
+    let other = env.start_process("h1").await?;
+    wait_until_serving(&env, &behind).await?;
+    wait_until_serving(&env, &other).await?;
+    link.set_blocked(true);
+    for report in 0..REPORTS {
+        let streams = (0..STREAMS_PER_REPORT).map(|n| report * STREAMS_PER_REPORT + n).collect();
+        let (service, software) = ("another".into(), "v1".into());
+        env.store.append("streams", 0, StreamRecord { service, software, streams }.to_record());
+    }
+    env.add_engine_with_software("b1", EVENTS, "v3").await?;
+    old.set_faults(TargetFaults { response: ResponseFault::Busy, ..TargetFaults::default() });
+    sleep(LIST_READ).await;
+    let begun = begin_streams(&env, &other).await;
+    sleep(REPORT_TIME).await;
+    env.remove_target("b1");
+    old.set_faults(TargetFaults::default());
+    sleep(LIST_READ).await;
+    link.set_delay_ms(LINK_DELAY_MS);
+    link.stall_connections();
+    link.set_blocked(false);
+    let healed = Instant::now();
+    let mut resumed = Vec::new();
+    while healed.elapsed() < Duration::from_secs(5) {
+        let (id, first) = &begun[resumed.len() % begun.len()];
+        resumed.push(resume_stream(&env, &behind, id, first).await);
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert!(!resumed.contains(&Resumed::Mixed), "events of two versions: {resumed:?}");
+    Ok(())
+}
--- a/crates/trials/tests/platform_store_returns.rs
+++ b/crates/trials/tests/platform_store_returns.rs
@@ -80,7 +80,9 @@
     for host in ["h8", "h9"] {
         others.push(env.start_process(host).await?);
     }
-    cut.iter().for_each(|(_, links, _)| links.cut(LinkCut::Refuse));
+    for (_, links, _) in &cut {
+        links.cut(LinkCut::Refuse);
+    }
     let is_served = || async {
         let requests = cut.iter().map(|(process, _, _)| env.request(process, "/quote/1", "cut"));
         join_all(requests).await.iter().all(|response| response.status == 200)
@@ -98,7 +100,9 @@
     for round in 1..=ROUNDS {
         env.store.put("keyed.op", "config", Some(&platform_config(2 * round, false)));
         sleep(Duration::from_secs(3)).await;
-        cut.iter().for_each(|(_, _, store_link)| store_link.set_blocked(true));
+        for (_, _, store_link) in &cut {
+            store_link.set_blocked(true);
+        }
         sleep(Duration::from_secs(1)).await;
         env.store.put("keyed.op", "config", Some(&platform_config(2 * round + 1, true)));
         env.store.expire_before("keyed.op", 0, u64::MAX);
