--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -26,6 +26,7 @@
 use crate::app::App;
 use crate::attempts::is_failed_run;
 use crate::call::log_attempt;
+use crate::incarnation;
 use crate::job_requests::JobRequests;
 use crate::target_clients::Connections;
 use crate::target_clients::Sender;
@@ -119,6 +120,9 @@
                 return RunOutcome::Impossible;
             }
         };
+        if after.is_some() && !incarnation::is_listed(self.app, self.engine.target()).await {
+            return RunOutcome::Refused;
+        }
         let Some(ways) = self.requests.ways(addr).await else {
             return RunOutcome::Refused;
         };
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod generate;
 mod hosts;
+mod incarnation;
 mod ingress;
 mod item;
 mod job;
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -35,6 +35,7 @@
 use crate::call::log_attempt;
 use crate::exposure;
 use crate::exposure::Unanswered;
+use crate::incarnation;
 use crate::response::Body;
 use crate::response::Refusal;
 use crate::resume;
@@ -96,6 +97,9 @@
         }
         let Some(in_flight) = targets.start_request(&target, Instant::now()) else { continue };
         tried.push(in_flight.target().info.id.clone());
+        if software.is_some() && !incarnation::is_listed(app, &target).await {
+            continue;
+        }
         log_attempt(app, &head.id, &in_flight, u32::try_from(tried.len()).unwrap_or(u32::MAX));
         let caller_timeout = caller_deadline.saturating_duration_since(Instant::now());
         let info = &in_flight.target().info;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -290,7 +290,7 @@
             json!({
                 "stage": "hybrid", "models": self.models(&state), "busy": busy,
                 "sequence": state.order_count, "num_waiting": 0, "num_running": state.running.len(),
-                "kv_used": 0, "kv_total": 1, "handle_count": 0,
+                "kv_used": 0, "kv_total": 1, "handle_count": 0, "born": state.started_ms,
             }),
         )
     }
--- a/crates/trials/tests/platform_software_versions.rs
+++ b/crates/trials/tests/platform_software_versions.rs
@@ -10,6 +10,9 @@
 use cassia_standin::Proxy;
 use cassia_standin::ResponseFault;
 use cassia_standin::TargetFaults;
+use cassia_standin::TargetSpec;
+use cassia_standin::TargetStandin;
+use cassia_trials::ENGINE_MODEL;
 use cassia_trials::PARTITIONS;
 use cassia_trials::PlatformEnv;
 use cassia_trials::PlatformResponse;
@@ -453,3 +456,29 @@
     assert!(!resumed.contains(&Resumed::Mixed), "events of two versions: {resumed:?}");
     Ok(())
 }
+
+/// Guards against ORDER at a host whose list is old: it takes an engine that has started
+/// again under its id, with another version, for the one before.
+#[tokio::test]
+async fn a_stream_does_not_go_on_at_an_engine_that_has_restarted_unnoticed() -> anyhow::Result<()> {
+    let env = env_without_engines().await?;
+    let engine = TargetStandin::start(TargetSpec {
+        id: "a1".to_owned(),
+        service: "lm".to_owned(),
+        model: Some(ENGINE_MODEL.to_owned()),
+        events: EVENTS,
+        delay: Duration::from_millis(10),
+    })
+    .await?;
+    engine.restart_with_software("v2");
+    engine.send_heartbeat(&env.store);
+    let process = env.start_process("h0").await?;
+    wait_until_serving(&env, &process).await?;
+    let begun = begin_streams(&env, &process).await;
+    // It writes no entry of this.
+    engine.restart_with_software("v3");
+    for (id, first) in &begun {
+        assert_ne!(resume_stream(&env, &process, id, first).await, Resumed::Mixed);
+    }
+    Ok(())
+}
