--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -79,10 +79,21 @@
                 continue;
             }
             let text = std::str::from_utf8(&block).map_err(|_| EventError::NotUtf8)?;
+            // Comments keep a connection alive and are no event.
+            if text.lines().all(|line| line.starts_with(':')) {
+                continue;
+            }
             return Ok(Some(self.parse_event(text)));
         }
     }
 
+    /// Number of bytes after the last complete event, once `next_event` has returned
+    /// all.
+    #[must_use]
+    pub fn remaining(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Checks that the stream ended after a complete event.
     ///
     /// # Errors
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -14,8 +14,10 @@
 use cassia_jobs::ItemText;
 use cassia_jobs::TextError;
 use cassia_route::InFlight;
+use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
+use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
@@ -46,6 +48,8 @@
 /// How often the text of a run is stored. A process that takes the item over
 /// generates no more than this again.
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Priority of items at engines: lower than that of callers' requests.
 const ITEM_PRIORITY: u8 = 5;
 
@@ -105,6 +109,12 @@
     }
 }
 
+/// Returns whether a body may be a stream of events: it doesn't state another type.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
+    kind.is_none_or(|kind| kind.starts_with(EVENT_STREAM))
+}
+
 impl Run<'_> {
     /// Runs the item from the end of the text so far.
     pub(crate) async fn generate(&self, text: &mut ItemText) -> RunOutcome {
@@ -167,6 +177,9 @@
                 log::info!(event = "attempt_refused", step = "generate", id, peer, load = head.load, status = response.status().as_u16(); "the engine did not run it");
                 RunOutcome::Refused
             }
+            status if status.is_success() && !is_event_stream(response.headers()) => {
+                self.interrupted("a success without events")
+            }
             status if status.is_success() => {
                 self.read_events(response.into_body(), &head, text).await
             }
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -11,6 +11,7 @@
 mod flags;
 mod follow;
 mod forward;
+mod forwarded_stream;
 mod generate;
 mod hosts;
 mod incarnation;
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -3,29 +3,19 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use bytes::Bytes;
 use cassia_adapter::RequestHead;
-use cassia_adapter::VERSION_FIELD;
 use cassia_adapter::decode_response_head;
-use cassia_adapter::strip_hop_by_hop;
 use cassia_adapter::target_request;
 use cassia_clients::ErrorKind;
-use cassia_ids::RequestId;
-use cassia_jobs::EventError;
-use cassia_jobs::EventParser;
-use cassia_quarantine::RequestDigest;
+use cassia_ids::TargetId;
 use cassia_quarantine::SendDecision;
 use cassia_route::Choice;
-use cassia_route::InFlight;
 use cassia_route::Route;
 use cassia_route::RouteKind;
 use cassia_route::TargetKind;
 use cassia_route::TargetQuery;
+use cassia_route::TargetSet;
 use http::Response;
-use http_body_util::BodyExt;
-use http_body_util::StreamBody;
-use hyper::body::Frame;
-use hyper::body::Incoming;
 
 use crate::answer::drop_misaligned;
 use crate::answer::is_answer_to;
@@ -35,6 +25,8 @@
 use crate::call::log_attempt;
 use crate::exposure;
 use crate::exposure::Unanswered;
+use crate::forwarded_stream;
+use crate::forwarded_stream::StreamContext;
 use crate::incarnation;
 use crate::response::Body;
 use crate::response::Refusal;
@@ -75,14 +67,8 @@
             refusal = Refusal::Quarantined;
             break;
         }
-        let mut query = TargetQuery::new(&kind);
-        query.tried = &tried;
-        query.software = software.as_deref();
-        query.preferred_data_centre = Some(&app.state.data_centre);
         let targets = app.state.targets.load_full();
-        targets.record_demand(&kind);
-        let now = Instant::now();
-        let target = match targets.choose(&query, &mut rand::rng(), now) {
+        let target = match choose(app, &targets, &kind, &tried, software.as_deref()) {
             Choice::Target(target) => target,
             Choice::RateLimited => {
                 refusal = Refusal::RateLimited;
@@ -135,7 +121,8 @@
                         app.streams.begin(head, in_flight.target());
                         app.streams.wait_until_announced(app, in_flight.target()).await;
                     }
-                    return forward_response(app, head.id.clone(), digest, response, in_flight);
+                    let stream = StreamContext { app, head, digest, in_flight };
+                    return forwarded_stream::forward(stream, response);
                 }
             }
             Err(e) if e.kind == ErrorKind::Connect => {
@@ -155,71 +142,18 @@
     refusal.response("stream")
 }
 
-/// Forwards the stream; the request counts as in flight until the stream ends.
-/// Bytes that are no events end the stream, so that the caller does not take it
-/// as complete.
-fn forward_response(
-    app: &Arc<App>,
-    id: RequestId,
-    digest: RequestDigest,
-    response: Response<Incoming>,
-    in_flight: InFlight,
-) -> Response<Body> {
-    let (parts, body) = response.into_parts();
-    let forwarded = ForwardedStream {
-        app: Arc::clone(app),
-        id,
-        digest,
-        body,
-        in_flight,
-        parser: EventParser::new(VERSION_FIELD),
-    };
-    let frames = futures::stream::try_unfold(forwarded, ForwardedStream::next_frame);
-    let mut forwarded = Response::new(StreamBody::new(frames).boxed_unsync());
-    *forwarded.status_mut() = parts.status;
-    *forwarded.headers_mut() = strip_hop_by_hop(&parts.headers);
-    forwarded
-}
-
-/// A stream that is being forwarded.
-struct ForwardedStream {
-    app: Arc<App>,
-    id: RequestId,
-    digest: RequestDigest,
-    body: Incoming,
-    in_flight: InFlight,
-    /// Checks that what is forwarded consists of events.
-    parser: EventParser,
-}
-
-impl ForwardedStream {
-    async fn next_frame(mut self) -> anyhow::Result<Option<(Frame<Bytes>, Self)>> {
-        let frame = match self.body.frame().await {
-            Some(Ok(frame)) => frame,
-            Some(Err(e)) => {
-                self.app.quarantine.record_crash(self.digest, self.in_flight.target());
-                return Err(e.into());
-            }
-            None => {
-                self.app.quarantine.record_success(self.digest);
-                return Ok(None);
-            }
-        };
-        if let Some(data) = frame.data_ref()
-            && let Err(e) = self.check(data)
-        {
-            let target = self.in_flight.target();
-            self.app.state.targets.load().record_failure(target, Instant::now());
-            let (id, peer) = (self.id.as_str(), target.info.id.as_str());
-            log::info!(event = "stream_invalid", step = "stream", id, peer; "{e}");
-            return Err(e.into());
-        }
-        Ok(Some((frame, self)))
-    }
-
-    fn check(&mut self, data: &[u8]) -> Result<(), EventError> {
-        self.parser.push(data);
-        while self.parser.next_event()?.is_some() {}
-        Ok(())
-    }
+/// Chooses a target that was not tried, of a version of the software if that is given.
+fn choose(
+    app: &App,
+    targets: &TargetSet,
+    kind: &TargetKind,
+    tried: &[TargetId],
+    software: Option<&str>,
+) -> Choice {
+    let mut query = TargetQuery::new(kind);
+    query.tried = tried;
+    query.software = software;
+    query.preferred_data_centre = Some(&app.state.data_centre);
+    targets.record_demand(kind);
+    targets.choose(&query, &mut rand::rng(), Instant::now())
 }
--- a/crates/trials/src/platform_client.rs
+++ b/crates/trials/src/platform_client.rs
@@ -65,6 +65,31 @@
         Self { client: builder.build_http() }
     }
 
+    /// Sends one request and returns what comes of the body until it ends, breaks off or
+    /// makes no progress for `pause`.
+    pub async fn send_for_part(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        id: &str,
+        pause: Duration,
+    ) -> Bytes {
+        let request = Request::post(format!("http://{to}{path}"))
+            .header("host", ROUTE_HOST)
+            .header("attempt-id", id)
+            .header("deadline-ms", "3000")
+            .body(Full::from("ask"));
+        let Ok(request) = request else { return Bytes::new() };
+        let Ok(Ok(response)) = timeout(RESPONSE_TIMEOUT, self.client.request(request)).await else {
+            return Bytes::new();
+        };
+        let (mut body, mut received) = (response.into_body(), Vec::new());
+        while let Ok(Some(Ok(frame))) = timeout(pause, body.frame()).await {
+            received.extend_from_slice(&frame.into_data().unwrap_or_default());
+        }
+        received.into()
+    }
+
     /// Sends one request.
     pub async fn send(
         &self,
--- a/crates/trials/src/platform_env.rs
+++ b/crates/trials/src/platform_env.rs
@@ -36,6 +36,9 @@
 pub const PARTITIONS: u32 = 2;
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time without bytes after which the part of a response counts as all that comes.
+const PARTIAL_PAUSE: Duration = Duration::from_millis(500);
+
 /// The store and the targets of the platform.
 #[derive(Debug)]
 pub struct PlatformEnv {
@@ -261,6 +264,11 @@
         self.send("POST", to.listen, path, &headers, "ask").await
     }
 
+    /// Sends a caller's request and returns what comes of the body until there is a pause.
+    pub async fn partial(&self, to: &Process, path: &str, id: &str) -> Bytes {
+        self.client.send_for_part(to.listen, path, id, PARTIAL_PAUSE).await
+    }
+
     /// Submits a batch job.
     pub async fn submit_job(&self, to: &Process, id: &str, job: &Value) -> PlatformResponse {
         let headers = [("attempt-id", id), ("content-type", "application/json")];
