--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -19,6 +19,7 @@
 use bytes::BytesMut;
 use http::Method;
 use http::Request;
+use percent_encoding::percent_decode_str;
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
@@ -31,6 +32,9 @@
 use crate::server::lock;
 use crate::store_view::StoreView;
 
+/// Maximum number of records in a page of the newest ones.
+const MAX_PAGE_ITEMS: usize = 500;
+
 /// The faults to inject into the store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreFaults {
@@ -341,9 +345,13 @@
             let value = STANDARD.encode(value);
             json!({"key": key, "value": value, "offset": offset})
         };
-        let items: Vec<_> = partition.newest.iter().map(item).collect();
+        let after = after_key(request);
+        let is_next = |(key, _): &(&String, _)| after.as_ref().is_none_or(|after| *key > after);
+        let mut next = partition.newest.iter().filter(is_next);
+        let items: Vec<_> = next.by_ref().take(MAX_PAGE_ITEMS).map(item).collect();
+        let has_more = next.next().is_some();
         let end = partition.end();
-        Reply::Json(200, json!({"items": items, "has_more": false, "end_offset": end}))
+        Reply::Json(200, json!({"items": items, "has_more": has_more, "end_offset": end}))
     }
 
     fn join(&self, request: &Request<Bytes>) -> Reply {
@@ -377,6 +385,13 @@
     }
 }
 
+/// Returns the key after which a page of the newest records begins.
+fn after_key(request: &Request<Bytes>) -> Option<String> {
+    let mut fields = request.uri().query().unwrap_or_default().split('&');
+    let key = fields.find_map(|field| field.strip_prefix("after="))?;
+    Some(percent_decode_str(key).decode_utf8_lossy().into_owned())
+}
+
 /// Splits a body into its records, each after its length; `None` if the last
 /// one is incomplete.
 fn decode_records(mut body: Bytes) -> Option<Vec<Bytes>> {
