Route, serve: sums of slots end at the largest number (a report)

Engines that state 4,294,967,295 slots overflow the sum: a panic in builds with checks that ended the run of a job, and few free slots in others.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -234,7 +234,8 @@
     /// Number of slots of the open targets of one kind.
     #[must_use]
     pub fn open_slots(&self, kind: &TargetKind) -> u32 {
-        self.of_kind(kind).iter().filter(|t| t.is_open()).map(|t| t.info.slots).sum()
+        let open = self.of_kind(kind).iter().filter(|t| t.is_open());
+        open.fold(0, |slots: u32, t| slots.saturating_add(t.info.slots))
     }
 
     /// Returns the number of other processes' requests at a target as of its
--- a/crates/serve/src/slot.rs
+++ b/crates/serve/src/slot.rs
@@ -274,7 +274,8 @@
         };
         let targets = state.targets.load();
         let free = targets.of_kind(&kind).iter().filter(is_eligible);
-        free.map(|target| target.info.slots.saturating_sub(target.load())).sum()
+        let free = free.map(|target| target.info.slots.saturating_sub(target.load()));
+        free.fold(0, u32::saturating_add)
     }
 }
 
