--- a/crates/serve/src/forwarded_stream.rs
+++ b/crates/serve/src/forwarded_stream.rs
@@ -1,6 +1,7 @@
 //! A target's stream on its way to the caller.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -19,16 +20,23 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use tokio::time::timeout_at;
 
 use crate::app::App;
 use crate::response::Body;
 
+/// Time without an event after which a stream that has lasted for its route's time limit
+/// is broken off.
+const MAX_EVENT_GAP: Duration = Duration::from_millis(700);
+
 /// The request to which a stream is the response.
 pub(crate) struct StreamContext<'a> {
     pub(crate) app: &'a Arc<App>,
     pub(crate) head: &'a RequestHead,
     pub(crate) digest: RequestDigest,
     pub(crate) in_flight: InFlight,
+    /// When the time limit of the request's route ends.
+    pub(crate) route_deadline: Instant,
 }
 
 /// Why a stream is broken off.
@@ -41,6 +49,8 @@
     OutOfOrder,
     #[error("stream without events")]
     Empty,
+    #[error("no event for too long, and the time limit of the route is over")]
+    Stalled,
 }
 
 /// Forwards a response, event by event; the request counts as in flight until it ends.
@@ -53,6 +63,8 @@
         digest: cx.digest,
         body,
         in_flight: cx.in_flight,
+        route_deadline: cx.route_deadline,
+        progress_at: Instant::now(),
         events: parts.status.is_success().then(|| Events::new(cx.head)),
     };
     let frames = futures::stream::try_unfold(forwarded, ForwardedStream::next_frame);
@@ -118,6 +130,9 @@
     digest: RequestDigest,
     body: Incoming,
     in_flight: InFlight,
+    route_deadline: Instant,
+    /// When the last whole event came.
+    progress_at: Instant,
     /// `None` for the response to a failure.
     events: Option<Events>,
 }
@@ -127,7 +142,13 @@
     /// it doesn't look complete.
     async fn next_frame(mut self) -> anyhow::Result<Option<(Frame<Bytes>, Self)>> {
         loop {
-            let frame = match self.body.frame().await {
+            // A sound stream may last longer than its route's time limit. One whose target
+            // is silent must not.
+            let stalled_at = self.route_deadline.max(self.progress_at + MAX_EVENT_GAP);
+            let Ok(frame) = timeout_at(stalled_at.into(), self.body.frame()).await else {
+                return Err(self.broken_off(StreamError::Stalled).into());
+            };
+            let frame = match frame {
                 Some(Ok(frame)) => frame,
                 Some(Err(e)) => {
                     self.app.quarantine.record_crash(self.digest, self.in_flight.target());
@@ -146,12 +167,13 @@
                 None => data,
             };
             if !whole.is_empty() {
+                self.progress_at = Instant::now();
                 return Ok(Some((Frame::data(whole), self)));
             }
         }
     }
 
-    /// Records that the target's stream is no stream of events.
+    /// Records that the target's stream is no stream of events, or none any more.
     fn broken_off(&self, e: StreamError) -> StreamError {
         let target = self.in_flight.target();
         self.app.state.targets.load().record_failure(target, Instant::now());
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -58,8 +58,9 @@
     let (service, software) = (origin.service, origin.software);
     let is_resumable = route.kind == RouteKind::Stream { resumable: true };
     let kind = TargetKind::Service { name: service };
-    let caller_deadline = Instant::now() + head.timeout.unwrap_or_else(|| route.timeout());
-    let deadline = caller_deadline.min(Instant::now() + route.timeout());
+    let route_deadline = Instant::now() + route.timeout();
+    let caller_deadline = head.timeout.map_or(route_deadline, |timeout| Instant::now() + timeout);
+    let deadline = caller_deadline.min(route_deadline);
     let (mut tried, mut refusal) = (Vec::new(), Refusal::NoTarget);
     let digest = outgoing.digest(&head.host);
     for _ in 0..route.max_attempts {
@@ -121,7 +122,7 @@
                         app.streams.begin(head, in_flight.target());
                         app.streams.wait_until_announced(app, in_flight.target()).await;
                     }
-                    let stream = StreamContext { app, head, digest, in_flight };
+                    let stream = StreamContext { app, head, digest, in_flight, route_deadline };
                     return forwarded_stream::forward(stream, response);
                 }
             }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -19,7 +19,6 @@
 use bytes::BytesMut;
 use http::Method;
 use http::Request;
-use percent_encoding::percent_decode_str;
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
@@ -385,11 +384,19 @@
     }
 }
 
-/// Returns the key after which a page of the newest records begins.
+/// Returns the key, which is percent-encoded, after which a page of the newest records
+/// begins.
 fn after_key(request: &Request<Bytes>) -> Option<String> {
     let mut fields = request.uri().query().unwrap_or_default().split('&');
     let key = fields.find_map(|field| field.strip_prefix("after="))?;
-    Some(percent_decode_str(key).decode_utf8_lossy().into_owned())
+    let mut parts = key.split('%');
+    let mut bytes = parts.next()?.as_bytes().to_vec();
+    for part in parts {
+        let (code, rest) = part.split_at_checked(2)?;
+        bytes.push(u8::from_str_radix(code, 16).ok()?);
+        bytes.extend_from_slice(rest.as_bytes());
+    }
+    String::from_utf8(bytes).ok()
 }
 
 /// Splits a body into its records, each after its length; `None` if the last
--- a/crates/trials/tests/platform_broken_streams.rs
+++ b/crates/trials/tests/platform_broken_streams.rs
@@ -1,5 +1,8 @@
 //! Streams and texts that break off, and what comes in place of their rest.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use anyhow::Context;
 use cassia_standin::RawEnd;
 use cassia_standin::RawRequest;
@@ -10,6 +13,7 @@
 use cassia_trials::batch_job;
 use cassia_trials::eventually;
 use cassia_trials::wait_until_serving;
+use futures::future::join_all;
 use rstest::rstest;
 
 /// Number of events of a whole text.
@@ -149,3 +153,53 @@
     assert_complete(&results, "j", ITEMS);
     Ok(())
 }
+
+/// Streams whose engine had become silent had no end at their route's time limit nor after
+/// it.
+#[rstest]
+#[case::after_an_event(1)]
+#[case::after_some_events(4)]
+#[tokio::test]
+async fn a_stream_that_stalls_ends_at_its_routes_time_limit(
+    #[case] events: u64,
+) -> anyhow::Result<()> {
+    /// The time limit of the trials' routes.
+    const ROUTE_LIMIT: Duration = Duration::from_secs(3);
+    /// How long after it a request may be without an end.
+    const SLACK: Duration = Duration::from_millis(500);
+    let script = move |request: &RawRequest| {
+        let events: Vec<_> = (0..events).map(|n| event(request, n)).collect();
+        (stream(request) + &events.concat(), RawEnd::Hold)
+    };
+    let (env, process) = start(0, script).await?;
+    let requests = (0..8).map(|n| {
+        let (env, process) = (&env, &process);
+        async move {
+            let start = Instant::now();
+            let id = format!("a{n}");
+            let headers = [("attempt-id", id.as_str()), ("deadline-ms", "9000")];
+            let response = env.send("POST", process.listen, "/stream/1", &headers, "ask").await;
+            (response.status, start.elapsed())
+        }
+    });
+    for (status, took) in join_all(requests).await {
+        assert_eq!(status, 0, "taken as complete");
+        assert!(took < ROUTE_LIMIT + SLACK, "no end after {took:?}");
+    }
+    Ok(())
+}
+
+/// A stream whose events keep coming is not cut off at its route's time limit.
+#[tokio::test]
+async fn a_slow_stream_may_last_longer_than_its_routes_time_limit() -> anyhow::Result<()> {
+    let env = PlatformEnv::start().await?.with_targets(1, 1).await?;
+    env.targets[0].set_delay(Duration::from_millis(560));
+    let process = env.start_process("h0").await?;
+    wait_until_serving(&env, &process).await?;
+    let headers = [("attempt-id", "a"), ("deadline-ms", "9000")];
+    let response = env.send("POST", process.listen, "/stream/1", &headers, "ask").await;
+    assert_eq!(response.status, 200);
+    let events = String::from_utf8_lossy(&response.body).lines().filter(|l| !l.is_empty()).count();
+    assert_eq!(events, 12, "the id and the data of six events: {response:?}");
+    Ok(())
+}
