Trials: an address is not handed out while a process is being started

Cause: a port is found free by binding it. A process that another thread is starting holds copies of all sockets until it runs its program, also of that one, so the port is still in use when its own program binds it. Change: starting a process and finding an address exclude each other.

--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -47,6 +47,7 @@
 pub use crate::platform_steps::start_processes;
 pub use crate::platform_steps::wait_until_serving;
 pub use crate::process::Process;
+pub use crate::process::free_addr;
 pub use crate::test_env::TestEnv;
 pub use crate::test_env::contract_revision;
 pub use crate::test_env::eventually;
--- a/crates/trials/src/platform_env.rs
+++ b/crates/trials/src/platform_env.rs
@@ -236,7 +236,8 @@
             return Ok(process);
         }
         let ended = process.wait(Duration::ZERO).await;
-        let message = format!("the process doesn't become ready; ended: {ended:?}");
+        let errors = process.errors();
+        let message = format!("the process doesn't become ready; ended: {ended:?} {errors}");
         Err(io::Error::new(io::ErrorKind::TimedOut, message))
     }
 
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -1,6 +1,7 @@
 //! Runs the shipped programs as processes.
 
 use std::io;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
@@ -59,7 +60,7 @@
 /// # Errors
 ///
 /// Fails if no port is free.
-pub(crate) fn free_addr() -> io::Result<SocketAddr> {
+pub fn free_addr() -> io::Result<SocketAddr> {
     let mut blocks = PORT_BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
         while blocks.next < blocks.end {
@@ -144,7 +145,11 @@
     }
 
     /// Starts `cassia-serve`, which reaches the store at this address.
-    pub(crate) fn start_serve(host: &str, store: SocketAddr) -> io::Result<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free or the program can't be started.
+    pub fn start_serve(host: &str, store: SocketAddr) -> io::Result<Self> {
         let (listen, link, ops) = (free_addr()?, free_addr()?, free_addr()?);
         let relay = free_addr()?;
         let args: Vec<String> = vec![
@@ -242,6 +247,18 @@
         Ok(kb >> 10)
     }
 
+    /// Returns what the process has written to standard error, if it has ended.
+    pub fn errors(&mut self) -> String {
+        let mut errors = String::new();
+        let has_ended = matches!(self.child.try_wait(), Ok(Some(_)));
+        if let Some(stderr) = self.child.stderr.as_mut().filter(|_| has_ended)
+            && let Err(e) = stderr.read_to_string(&mut errors)
+        {
+            return e.to_string();
+        }
+        errors
+    }
+
     /// Returns the process id.
     #[must_use]
     pub fn id(&self) -> u32 {
@@ -256,13 +273,16 @@
 }
 
 fn spawn(program: &str, args: &[String]) -> io::Result<Child> {
+    // Until it runs the program, a new process holds copies of this one's sockets, also of
+    // one by which an address is just being found free.
+    let _ports = PORT_BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
     let show_logs = std::env::var_os("CASSIA_TRIAL_LOGS").is_some();
-    let output = || if show_logs { Stdio::inherit() } else { Stdio::null() };
     Command::new(program_path(program)?)
         .args(args)
         .stdin(Stdio::null())
-        .stdout(output())
-        .stderr(output())
+        .stdout(if show_logs { Stdio::inherit() } else { Stdio::null() })
+        // A few lines at most, so the pipe is never full.
+        .stderr(if show_logs { Stdio::inherit() } else { Stdio::piped() })
         .spawn()
 }
 
--- a/crates/trials/src/test_env.rs
+++ b/crates/trials/src/test_env.rs
@@ -194,7 +194,8 @@
             eventually(|| async move { operator().get(ops, "/health").await.status == 200 });
         if !healthy.await {
             let exit_status = process.wait(Duration::ZERO).await;
-            bail!("{program} on {host} doesn't respond at {ops}; exit status: {exit_status:?}");
+            let errors = process.errors();
+            bail!("{program} on {host} doesn't respond at {ops}; ended: {exit_status:?} {errors}");
         }
         Ok(process)
     }
