--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -48,6 +48,7 @@
 pub use crate::platform_steps::wait_until_serving;
 pub use crate::process::Process;
 pub use crate::process::free_addr;
+pub use crate::process::program_path;
 pub use crate::test_env::TestEnv;
 pub use crate::test_env::contract_revision;
 pub use crate::test_env::eventually;
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -24,7 +25,7 @@
 #[derive(Debug)]
 pub struct Process {
     child: Child,
-    program: &'static str,
+    program: PathBuf,
     args: Vec<String>,
     /// Address for callers or trainers, if the program serves any.
     pub listen: SocketAddr,
@@ -37,12 +38,15 @@
     pub relay: Option<SocketAddr>,
 }
 
+/// Name of the program on the users' platform.
+const SERVE: &str = "cassia-serve";
+
 /// Returns the path of a shipped program, in the directory of the running one.
 ///
 /// # Errors
 ///
 /// Fails if the running program's path can't be read.
-pub(crate) fn program_path(name: &str) -> io::Result<PathBuf> {
+pub fn program_path(name: &str) -> io::Result<PathBuf> {
     let mut dir = std::env::current_exe()?;
     dir.pop();
     if dir.ends_with("deps") {
@@ -140,7 +144,8 @@
             args.push(format!("--listen={listen}"));
         }
         args.extend(platform_flags.iter().cloned());
-        let child = spawn(program, &args)?;
+        let program = program_path(program)?;
+        let child = spawn(&program, &args)?;
         Ok(Self { child, program, args, listen, link, ops, relay: None })
     }
 
@@ -150,6 +155,15 @@
     ///
     /// Fails if no port is free or the program can't be started.
     pub fn start_serve(host: &str, store: SocketAddr) -> io::Result<Self> {
+        Self::start_serve_build(&program_path(SERVE)?, host, store)
+    }
+
+    /// As `start_serve`, with the program at this path, which may be an earlier one.
+    ///
+    /// # Errors
+    ///
+    /// As `start_serve`.
+    pub fn start_serve_build(program: &Path, host: &str, store: SocketAddr) -> io::Result<Self> {
         let (listen, link, ops) = (free_addr()?, free_addr()?, free_addr()?);
         let relay = free_addr()?;
         let args: Vec<String> = vec![
@@ -162,9 +176,23 @@
             format!("--store={store}"),
             "--store-parts=2".to_owned(),
         ];
-        let program = "cassia-serve";
-        let child = spawn(program, &args)?;
-        Ok(Self { child, program, args, listen, link, ops, relay: Some(relay) })
+        let program = program.to_owned();
+        let flags = known_flags(&program, &args)?;
+        let relay = flags.iter().any(|flag| flag.starts_with("--relay=")).then_some(relay);
+        let child = spawn(&program, &flags)?;
+        Ok(Self { child, program, args, listen, link, ops, relay })
+    }
+
+    /// Starts another build of the program at the same addresses, after this one has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program can't be started.
+    pub fn replace(&mut self, program: &Path) -> io::Result<()> {
+        self.kill();
+        program.clone_into(&mut self.program);
+        self.child = spawn(program, &known_flags(program, &self.args)?)?;
+        Ok(())
     }
 
     /// Kills the process and starts the program again with the same arguments.
@@ -174,7 +202,7 @@
     /// Fails if the process can't be started.
     pub fn restart(&mut self) -> io::Result<()> {
         self.kill();
-        self.child = spawn(self.program, &self.args)?;
+        self.child = spawn(&self.program, &self.args)?;
         Ok(())
     }
 
@@ -272,12 +300,22 @@
     }
 }
 
-fn spawn(program: &str, args: &[String]) -> io::Result<Child> {
+/// Returns the flags that a program knows: earlier ones have fewer.
+fn known_flags(program: &Path, args: &[String]) -> io::Result<Vec<String>> {
+    let help = Command::new(program).arg("--help").output()?.stdout;
+    let help = String::from_utf8_lossy(&help).into_owned();
+    let is_known = |arg: &&String| {
+        arg.split('=').next().is_some_and(|name| help.contains(&format!("{name}=")))
+    };
+    Ok(args.iter().filter(is_known).cloned().collect())
+}
+
+fn spawn(program: &Path, args: &[String]) -> io::Result<Child> {
     // Until it runs the program, a new process holds copies of this one's sockets, also of
     // one by which an address is just being found free.
     let _ports = PORT_BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
     let show_logs = std::env::var_os("CASSIA_TRIAL_LOGS").is_some();
-    Command::new(program_path(program)?)
+    Command::new(program)
         .args(args)
         .stdin(Stdio::null())
         .stdout(if show_logs { Stdio::inherit() } else { Stdio::null() })
--- a/crates/trials/tests/addresses.rs
+++ b/crates/trials/tests/addresses.rs
@@ -19,7 +19,7 @@
 /// that another trial was just starting held a copy of the socket by which the address had
 /// been found free.
 #[test]
-fn an_address_is_free_while_other_processes_are_started() -> anyhow::Result<()> {
+fn an_address_is_free_while_other_processes_are_started() {
     let is_over = Arc::new(AtomicBool::new(false));
     let starters: Vec<_> = (0..THREADS)
         .map(|_| {
@@ -48,5 +48,4 @@
         starter.join().expect("no panic");
     }
     assert_eq!(in_use, 0, "of {} addresses", THREADS * ADDRESSES);
-    Ok(())
 }
