--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -50,7 +50,8 @@
     Unreachable = 2,
     /// The target is not in its list, or must get no new work.
     NotListed = 3,
-    /// It forwards as many connections as it can, or is stopping.
+    /// It forwards as many connections as it can, or is stopping, or makes none to this
+    /// target for hosts of an earlier release.
     Busy = 4,
     /// It doesn't know the host that asks.
     UnknownHost = 5,
--- a/crates/serve/src/relay_server.rs
+++ b/crates/serve/src/relay_server.rs
@@ -142,6 +142,11 @@
 /// Connects to a target over this host's own link.
 async fn connect(app: &App, request: &RelayRequest) -> Result<TcpStream, RelayReply> {
     let target = find_target(app, request).ok_or(RelayReply::NotListed)?;
+    // Hosts that know no chunks send items of jobs that may have ended, however old what
+    // they know is.
+    if !request.accepts_chunks && is_engine(app, &target) {
+        return Err(RelayReply::Busy);
+    }
     let addr = target.info.addr;
     // A lost link is tried again by its checks.
     if app.relay.is_lost(addr) {
@@ -157,6 +162,11 @@
     }
 }
 
+fn is_engine(app: &App, target: &Target) -> bool {
+    let heartbeats = app.state.heartbeats.load();
+    heartbeats.iter().any(|known| known.id == target.info.id && !known.versions.is_empty())
+}
+
 fn find_target(app: &App, request: &RelayRequest) -> Option<Arc<Target>> {
     let targets = app.state.targets.load();
     let is_asked = |target: &&Arc<Target>| {
