--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -302,8 +302,8 @@
 
 /// Returns the flags that a program knows: earlier ones have fewer.
 fn known_flags(program: &Path, args: &[String]) -> io::Result<Vec<String>> {
-    let help = Command::new(program).arg("--help").output()?.stdout;
-    let help = String::from_utf8_lossy(&help).into_owned();
+    let asked = spawn_apart(Command::new(program).arg("--help").stdout(Stdio::piped()))?;
+    let help = String::from_utf8_lossy(&asked.wait_with_output()?.stdout).into_owned();
     let is_known = |arg: &&String| {
         arg.split('=').next().is_some_and(|name| help.contains(&format!("{name}=")))
     };
@@ -311,17 +311,22 @@
 }
 
 fn spawn(program: &Path, args: &[String]) -> io::Result<Child> {
-    // Until it runs the program, a new process holds copies of this one's sockets, also of
-    // one by which an address is just being found free.
-    let _ports = PORT_BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
     let show_logs = std::env::var_os("CASSIA_TRIAL_LOGS").is_some();
-    Command::new(program)
+    let mut command = Command::new(program);
+    command
         .args(args)
         .stdin(Stdio::null())
         .stdout(if show_logs { Stdio::inherit() } else { Stdio::null() })
         // A few lines at most, so the pipe is never full.
-        .stderr(if show_logs { Stdio::inherit() } else { Stdio::piped() })
-        .spawn()
+        .stderr(if show_logs { Stdio::inherit() } else { Stdio::piped() });
+    spawn_apart(&mut command)
+}
+
+/// Starts a process while no address is being found free: until it runs the program, it
+/// holds copies of this one's sockets, also of that by which an address is found free.
+fn spawn_apart(command: &mut Command) -> io::Result<Child> {
+    let _ports = PORT_BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
 }
 
 impl Drop for Process {
