Serve: the bytes of a stream's events are kept once

Cause: since only whole events are passed on, the bytes that wait for the end of theirs stood twice, in the parser and beside it, up to 256 KB each a stream.

Change: the parser returns the bytes of a block with its event.

--- a/crates/jobs/src/events.rs
+++ b/crates/jobs/src/events.rs
@@ -1,6 +1,6 @@
 //! Incremental parser of server-sent event streams.
 
-use bytes::Buf;
+use bytes::Bytes;
 use bytes::BytesMut;
 use cassia_ids::Version;
 
@@ -21,6 +21,15 @@
     pub version: Option<Version>,
 }
 
+/// Part of a stream up to an empty line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Block {
+    /// The event; `None` if there are comments only, or nothing.
+    pub event: Option<Event>,
+    /// Its bytes, with the empty line.
+    pub bytes: Bytes,
+}
+
 /// Why the input is not a valid event stream.
 #[derive(Clone, Copy, Debug, Eq, thiserror::Error, PartialEq)]
 pub enum EventError {
@@ -66,32 +75,34 @@
     /// An event is too large or not valid UTF-8.
     pub fn next_event(&mut self) -> Result<Option<Event>, EventError> {
         loop {
-            let Some((len, separator_len)) = find_event_end(&self.buf, self.scanned) else {
-                // The separator may have arrived in part.
-                self.scanned = self.buf.len().saturating_sub(MAX_SEPARATOR_BYTES - 1);
-                let too_large = self.buf.len() > MAX_EVENT_BYTES;
-                return if too_large { Err(EventError::TooLarge) } else { Ok(None) };
-            };
-            let block = self.buf.split_to(len);
-            self.buf.advance(separator_len);
-            self.scanned = 0;
-            if block.is_empty() {
-                continue;
+            match self.next_block()? {
+                Some(Block { event: None, .. }) => {}
+                Some(block) => return Ok(block.event),
+                None => return Ok(None),
             }
-            let text = std::str::from_utf8(&block).map_err(|_| EventError::NotUtf8)?;
-            // Comments keep a connection alive and are no event.
-            if text.lines().all(|line| line.starts_with(':')) {
-                continue;
-            }
-            return Ok(Some(self.parse_event(text)));
         }
     }
 
-    /// Number of bytes after the last complete event, once `next_event` has returned
-    /// all.
-    #[must_use]
-    pub fn remaining(&self) -> usize {
-        self.buf.len()
+    /// Returns what comes up to the end of the next empty line, or `None` if more bytes
+    /// are needed.
+    ///
+    /// # Errors
+    ///
+    /// An event is too large or not valid UTF-8.
+    pub fn next_block(&mut self) -> Result<Option<Block>, EventError> {
+        let Some((len, separator_len)) = find_event_end(&self.buf, self.scanned) else {
+            // The separator may have arrived in part.
+            self.scanned = self.buf.len().saturating_sub(MAX_SEPARATOR_BYTES - 1);
+            let too_large = self.buf.len() > MAX_EVENT_BYTES;
+            return if too_large { Err(EventError::TooLarge) } else { Ok(None) };
+        };
+        let bytes = self.buf.split_to(len + separator_len).freeze();
+        self.scanned = 0;
+        let text = std::str::from_utf8(&bytes[..len]).map_err(|_| EventError::NotUtf8)?;
+        // Comments keep a connection alive and are no event; nor are empty lines.
+        let has_event = !text.lines().all(|line| line.starts_with(':'));
+        let event = has_event.then(|| self.parse_event(text));
+        Ok(Some(Block { event, bytes }))
     }
 
     /// Checks that the stream ended after a complete event.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -27,6 +27,7 @@
 
 use smol_str::SmolStr;
 
+pub use crate::events::Block;
 pub use crate::events::Event;
 pub use crate::events::EventError;
 pub use crate::events::EventParser;
--- a/crates/serve/src/forwarded_stream.rs
+++ b/crates/serve/src/forwarded_stream.rs
@@ -78,8 +78,6 @@
 /// none never reach the caller.
 struct Events {
     parser: EventParser,
-    /// Bytes that have not been passed on.
-    waiting: BytesMut,
     last_id: Option<u64>,
     /// Whether the stream goes on after an event that the caller has.
     is_resumed: bool,
@@ -89,7 +87,6 @@
     fn new(head: &RequestHead) -> Self {
         Self {
             parser: EventParser::new(VERSION_FIELD),
-            waiting: BytesMut::new(),
             last_id: head.last_event_id,
             is_resumed: head.resumes.is_some(),
         }
@@ -98,12 +95,12 @@
     /// Adds bytes; returns those of the events that are whole.
     fn push(&mut self, bytes: &[u8]) -> Result<Bytes, StreamError> {
         self.parser.push(bytes);
-        self.waiting.extend_from_slice(bytes);
-        while let Some(event) = self.parser.next_event()? {
-            self.check(&event)?;
+        let mut whole = BytesMut::new();
+        while let Some(block) = self.parser.next_block()? {
+            block.event.as_ref().map_or(Ok(()), |event| self.check(event))?;
+            whole.extend_from_slice(&block.bytes);
         }
-        let whole = self.waiting.len().saturating_sub(self.parser.remaining());
-        Ok(self.waiting.split_to(whole).freeze())
+        Ok(whole.freeze())
     }
 
     fn check(&mut self, event: &Event) -> Result<(), StreamError> {
