--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -12,9 +12,13 @@
 //! assert_eq!(contract.share_percent, 50);
 //! ```
 
+mod account;
 mod check;
 mod types;
 
+pub use crate::account::Account;
+pub use crate::account::AccountTable;
+pub use crate::account::KeyDigest;
 pub use crate::check::ContractError;
 pub use crate::check::Violation;
 pub use crate::check::check;
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -90,6 +90,10 @@
     /// The job's items.
     #[prost(message, repeated, tag = "9")]
     pub items: Vec<Item>,
+    /// Customer that owns the job; empty if the configuration has no accounts, or
+    /// an earlier release accepted it.
+    #[prost(string, tag = "10")]
+    pub customer: String,
 }
 
 /// Final result of an item.
@@ -162,6 +166,9 @@
     /// When the job was accepted, in Unix milliseconds.
     #[prost(uint64, tag = "6")]
     accepted_ms: u64,
+    /// Customer that owns the job; empty for none.
+    #[prost(string, tag = "7")]
+    customer: String,
 }
 
 #[derive(Clone, Eq, Message, PartialEq)]
@@ -203,6 +210,8 @@
         item_count: u32,
         /// When the job was accepted, in Unix milliseconds.
         accepted_ms: u64,
+        /// Customer that owns the job; empty for none.
+        customer: String,
         /// Bytes of this part of the encoded submission.
         data: Bytes,
     },
@@ -219,8 +228,8 @@
     Unknown,
 }
 
-/// Upper bound on the encoded size of a part's fields other than its data and
-/// its job id.
+/// Upper bound on the encoded size of a part's fields other than its data,
+/// its job id and its customer.
 const PART_OVERHEAD_BYTES: usize = 256;
 
 /// A submission is too large for one append to the log.
@@ -246,10 +255,13 @@
         max_append_bytes: usize,
     ) -> Result<Vec<Bytes>, JobTooLargeError> {
         let data = Bytes::from(self.encode_to_vec());
-        let chunk_len = max_record_bytes.saturating_sub(PART_OVERHEAD_BYTES + self.id.len()).max(1);
+        let chunk_len = max_record_bytes
+            .saturating_sub(PART_OVERHEAD_BYTES + self.id.len() + self.customer.len())
+            .max(1);
         let part_count = data.len().div_ceil(chunk_len).max(1);
-        let max_bytes =
-            max_append_bytes.saturating_sub(part_count * (PART_OVERHEAD_BYTES + self.id.len()));
+        let max_bytes = max_append_bytes.saturating_sub(
+            part_count * (PART_OVERHEAD_BYTES + self.id.len() + self.customer.len()),
+        );
         if data.len() > max_bytes {
             return Err(JobTooLargeError { bytes: data.len(), max_bytes });
         }
@@ -262,6 +274,7 @@
                 item_count: to_u32(self.items.len()),
                 data: data.slice(part * chunk_len..data.len().min((part + 1) * chunk_len)),
                 accepted_ms: self.accepted_ms,
+                customer: self.customer.clone(),
             });
             Envelope { body: Some(body) }.encode_to_vec().into()
         };
@@ -321,6 +334,7 @@
                 part_count: part.part_count,
                 item_count: part.item_count,
                 accepted_ms: part.accepted_ms,
+                customer: part.customer,
                 data: part.data,
             },
             Ok(Some(Body::Result(result))) => Self::Result(result),
--- a/crates/jobs/src/snapshot.rs
+++ b/crates/jobs/src/snapshot.rs
@@ -79,6 +79,8 @@
     /// job.
     #[prost(uint64, repeated, tag = "12")]
     progress_offsets: Vec<u64>,
+    #[prost(string, tag = "13")]
+    customer: String,
 }
 
 impl JobTable {
@@ -150,6 +152,7 @@
             position_deltas: to_deltas(positions),
             progress_indexes: job.progress.keys().copied().collect(),
             progress_offsets: job.progress.values().map(|o| o - job.first_offset).collect(),
+            customer: job.customer.to_string(),
         }
     }
 
@@ -183,6 +186,7 @@
             part_count: self.part_count,
             part_bytes: self.part_bytes,
             accepted_ms: self.accepted_ms,
+            customer: self.customer.as_str().into(),
             results,
             progress,
             ended: self.ended,
--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 
 use cassia_ids::Offset;
+use smol_str::SmolStr;
 
 use crate::JobId;
 use crate::JobRecord;
@@ -34,6 +35,8 @@
     pub part_bytes: u64,
     /// When the job was accepted, in Unix milliseconds.
     pub accepted_ms: u64,
+    /// Customer that owns the job; empty for none.
+    pub customer: SmolStr,
     /// The result at each position.
     pub results: Vec<ResultRef>,
     /// Offset of the newest record of the progress of each item that has no
@@ -147,15 +150,16 @@
         self.next_offset = offset + 1;
         self.position += size as u64;
         match record {
-            JobRecord::Part { job, part: 0, part_count, item_count, accepted_ms, .. }
-                if *item_count <= MAX_ITEMS =>
-            {
+            JobRecord::Part {
+                job, part: 0, part_count, item_count, accepted_ms, customer, ..
+            } if *item_count <= MAX_ITEMS => {
                 let job_state = Job {
                     first_offset: offset,
                     part_count: *part_count,
                     // All parts but the last are as large as the first.
                     part_bytes: u64::from(*part_count) * size as u64,
                     accepted_ms: *accepted_ms,
+                    customer: customer.into(),
                     results: Vec::new(),
                     progress: BTreeMap::new(),
                     ended: false,
--- a/crates/jobs/tests/recovery.rs
+++ b/crates/jobs/tests/recovery.rs
@@ -64,6 +64,7 @@
             part_count: 1,
             item_count: ITEMS_PER_JOB,
             accepted_ms: u64::from(n),
+            customer: String::new(),
             data: Bytes::new(),
         };
         partition.bytes = append(SUBMISSION_BYTES, &first);
--- a/crates/jobs/tests/snapshot.rs
+++ b/crates/jobs/tests/snapshot.rs
@@ -22,6 +22,7 @@
         part_count,
         item_count: ITEM_COUNT,
         accepted_ms,
+        customer: String::new(),
         data,
     }
 }
--- a/crates/jobs/tests/table.rs
+++ b/crates/jobs/tests/table.rs
@@ -23,7 +23,15 @@
 
 fn part(job: &str, part: u32) -> JobRecord {
     let (job, data) = (job.to_owned(), Bytes::new());
-    JobRecord::Part { job, part, part_count: 2, item_count: ITEM_COUNT, accepted_ms: 7, data }
+    JobRecord::Part {
+        job,
+        part,
+        part_count: 2,
+        item_count: ITEM_COUNT,
+        accepted_ms: 7,
+        customer: String::new(),
+        data,
+    }
 }
 
 fn result(job: &str, index: u32, text: &str) -> JobRecord {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -49,6 +49,7 @@
 pub use crate::routing::Route;
 pub use crate::routing::RouteKind;
 pub use crate::routing::RouteTable;
+pub use crate::routing::Scaling;
 pub use crate::sample_limit::Occupancy;
 pub use crate::sample_limit::sample_limit;
 pub use crate::target::InFlight;
--- a/crates/route/src/registry.rs
+++ b/crates/route/src/registry.rs
@@ -41,6 +41,10 @@
     pub slots: u32,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// Whether it may be reclaimed at any time.
+    pub spot: bool,
+    /// How long it still runs, in milliseconds, if it is shutting down and says so.
+    pub leaves_ms: Option<u64>,
     /// When it started, in milliseconds of wall-clock time; identifies its
     /// incarnation.
     pub started_ms: u64,
@@ -102,8 +106,13 @@
         heartbeat.leaving |= old.leaving && old.started_ms == heartbeat.started_ms;
         let was_present = matches!(entry.presence, Presence::Present);
         let has_same_versions = heartbeat.versions == old.versions;
-        let expected =
-            Heartbeat { seq: heartbeat.seq, versions: heartbeat.versions.clone(), ..old.clone() };
+        // The time that is left shrinks with each heartbeat.
+        let expected = Heartbeat {
+            seq: heartbeat.seq,
+            versions: heartbeat.versions.clone(),
+            leaves_ms: heartbeat.leaves_ms,
+            ..old.clone()
+        };
         let has_same_rest = heartbeat == expected;
         *entry = Entry { heartbeat, presence: Presence::Present };
         match (was_present, has_same_versions, has_same_rest) {
--- a/crates/route/src/routing.rs
+++ b/crates/route/src/routing.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cassia_contract::AccountTable;
+use cassia_ids::DataCentre;
 use cassia_ids::RouteName;
 use smol_str::SmolStr;
 
@@ -56,12 +58,30 @@
     pub max_attempts: u32,
     /// Priority; 0 is the most urgent.
     pub priority: u32,
+    /// Whether its requests need no key where the configuration has accounts.
+    pub public: bool,
     /// Services that its requests are split over, with their weights.
     pub split: Vec<(SmolStr, u32)>,
     /// Limits of its batch jobs.
     pub job: JobLimits,
 }
 
+/// How many targets of a service may be ordered, and at which prices.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Scaling {
+    /// Minimum number of targets in each data centre, of both kinds together.
+    pub min_count: u32,
+    /// Maximum number of targets in each data centre, of both kinds together.
+    pub max_count: u32,
+    /// Time until a target that was ordered serves, in milliseconds.
+    pub boot_ms: u64,
+    /// Price of a spot target as a part of that of an on-demand one; `None` if
+    /// there are no spot targets.
+    pub spot_price: Option<f64>,
+    /// Price of an on-demand target for a second, by data centre.
+    pub prices: BTreeMap<DataCentre, f64>,
+}
+
 /// Limits on the size of callers' requests and the time to receive them.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerLimits {
@@ -93,6 +113,10 @@
     pub version: u64,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
+    /// The accounts; `None` if requests carry no keys.
+    pub accounts: Option<AccountTable>,
+    /// Services whose number of targets follows the demand, by name.
+    pub scaling: BTreeMap<SmolStr, Scaling>,
     by_host: BTreeMap<SmolStr, Vec<Arc<Route>>>,
 }
 
@@ -132,7 +156,7 @@
             // Longest prefix first, so that the first match is the longest.
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Self { version, limits, by_host }
+        Self { version, limits, accounts: None, scaling: BTreeMap::new(), by_host }
     }
 
     /// Returns the route with the longest matching prefix for a request.
--- a/crates/route/tests/registry.rs
+++ b/crates/route/tests/registry.rs
@@ -21,6 +21,8 @@
         software: "v1".into(),
         slots: 4,
         leaving,
+        spot: false,
+        leaves_ms: None,
         started_ms,
         seq,
         versions: vec![("m".into(), 1)],
--- a/crates/route/tests/routing.rs
+++ b/crates/route/tests/routing.rs
@@ -17,6 +17,7 @@
         slo_ms: 100,
         max_attempts: 2,
         priority: 0,
+        public: false,
         split: split.iter().map(|(name, weight)| ((*name).into(), *weight)).collect(),
         job: JobLimits::default(),
     }
--- a/crates/route/tests/scale.rs
+++ b/crates/route/tests/scale.rs
@@ -23,6 +23,8 @@
         software: "v1".into(),
         slots: 6,
         leaving: false,
+        spot: false,
+        leaves_ms: None,
         started_ms: 1,
         seq: version,
         versions: vec![("m".into(), version)],
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -37,6 +37,7 @@
 use smol_str::SmolStr;
 use tokio::time::sleep_until;
 
+use crate::accounts::Requester;
 use crate::answer::drop_misaligned;
 use crate::answer::is_answer_to;
 use crate::answer::record_load;
@@ -74,6 +75,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) requester: Requester,
 }
 
 impl OutgoingRequest {
@@ -357,6 +359,7 @@
             &outgoing.headers,
             outgoing.body.clone(),
             caller_timeout,
+            outgoing.requester.header(),
         );
         let Ok(request) = request else {
             return AttemptOutcome::NotRun;
--- a/crates/serve/src/flags.rs
+++ b/crates/serve/src/flags.rs
@@ -12,6 +12,12 @@
 /// Upper bound on the encoded size of a result's fields other than its text.
 const RESULT_OVERHEAD_BYTES: usize = 4 << 10;
 
+/// Names of the duties.
+const USAGE_DUTY: &str = "usage_report";
+const SCALE_DUTY: &str = "scale";
+/// How long after the last read of the configuration keys are refused, if they are.
+const DEFAULT_REVOKE_MS: &str = "5000";
+
 /// Settings of this program:
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(generate(serve_flags))]
@@ -49,6 +55,27 @@
     /// Minimum time between orders of two lease holders to one engine, in milliseconds
     #[bpaf(long, env("CASSIA_LEASE_MS"), argument("MS"), fallback("3000".to_owned()), display_fallback)]
     lease_ms: String,
+    /// Where the platform's API is; without it, no duties are performed
+    #[bpaf(long, env("CASSIA_PLATFORM_API"), argument("IP:PORT"))]
+    platform_api: Option<String>,
+    /// Duties of one host at a time, separated by commas: `usage_report`, `scale`
+    #[bpaf(long, env("CASSIA_DUTIES"), argument("NAMES"))]
+    duties: Option<String>,
+    /// Calls a second that the platform's API accepts from all hosts
+    #[bpaf(long, env("CASSIA_DUTY_CALLS_PER_S"), argument("N"))]
+    duty_calls_per_s: Option<String>,
+    /// Length of a window whose use is reported, in seconds
+    #[bpaf(long, env("CASSIA_USAGE_WINDOW_S"), argument("S"))]
+    usage_window_s: Option<String>,
+    /// How long after its end the use of a window is due, in seconds
+    #[bpaf(long, env("CASSIA_USAGE_LATE_S"), argument("S"))]
+    usage_late_s: Option<String>,
+    /// Whether keys are refused while the configuration can't be read: true or false
+    #[bpaf(long, env("CASSIA_STRICT_REVOKE"), argument("BOOL"))]
+    strict_revoke: Option<String>,
+    /// How long after the last read of the configuration that begins, in milliseconds
+    #[bpaf(long, env("CASSIA_REVOKE_MS"), argument("MS"))]
+    revoke_ms: Option<String>,
     /// Maximum size of all responses of targets and the store that are being read, in kilobytes
     #[bpaf(long, env("CASSIA_RESPONSE_BUFFER_KB"), argument("KB"), fallback("16384".to_owned()), display_fallback)]
     response_buffer_kb: String,
@@ -60,6 +87,21 @@
     check: bool,
 }
 
+/// The duties of one host at a time that the platform expects.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct DutySettings {
+    /// Where the platform's API is.
+    pub(crate) api: SocketAddr,
+    pub(crate) reports_usage: bool,
+    pub(crate) scales: bool,
+    /// Calls a second that the API accepts from all hosts.
+    pub(crate) calls_per_second: u32,
+    /// Length of a window whose use is reported, in milliseconds.
+    pub(crate) usage_window_ms: u64,
+    /// How long after its end the use of a window is due, in milliseconds.
+    pub(crate) usage_late_ms: u64,
+}
+
 /// The validated settings.
 #[derive(Clone, Debug)]
 pub(crate) struct ServeSettings {
@@ -74,6 +116,13 @@
     pub(crate) record_bytes: usize,
     pub(crate) append_bytes: usize,
     pub(crate) lease_ms: u64,
+    /// `None` if the platform has no API.
+    #[expect(dead_code, reason = "the duties follow in the next changes")]
+    pub(crate) duties: Option<DutySettings>,
+    /// How long after the last read of the configuration keys are refused, in
+    /// milliseconds; `None` if they are not.
+    #[expect(dead_code, reason = "the refusal follows in the next changes")]
+    pub(crate) revoke_ms: Option<u64>,
     pub(crate) response_buffer_bytes: usize,
     pub(crate) stop_limit_ms: u64,
     pub(crate) check_only: bool,
@@ -107,6 +156,8 @@
         let record_bytes = faults.number("--record-bytes", &self.record_bytes, 1_024, 1 << 30);
         let append_bytes = faults.number("--append-bytes", &self.append_bytes, 1_024, 1 << 30);
         let lease_ms = faults.number("--lease-ms", &self.lease_ms, 0, 600_000);
+        let duties = self.parse_duties(faults);
+        let revoke_ms = self.parse_revoke_ms(faults);
         let response_buffer_kb =
             faults.number("--response-buffer-kb", &self.response_buffer_kb, 1_024, 1 << 24);
         let stop_limit_ms = faults.number("--stop-limit-ms", &self.stop_limit_ms, 0, 600_000);
@@ -122,11 +173,56 @@
             record_bytes: usize::try_from(record_bytes?).ok()?,
             append_bytes: usize::try_from(append_bytes?).ok()?,
             lease_ms: lease_ms?,
+            duties,
+            revoke_ms,
             response_buffer_bytes: usize::try_from(response_buffer_kb? << 10).ok()?,
             stop_limit_ms: stop_limit_ms?,
             check_only: self.check,
         })
     }
+
+    /// Returns the duties; `None` without an API, or if a value is a fault.
+    fn parse_duties(&self, faults: &mut Faults) -> Option<DutySettings> {
+        let mut number = |flag, value: Option<&str>, default, max| {
+            given(value).map_or(Some(default), |value| faults.number(flag, value, 1, max))
+        };
+        let calls = number("--duty-calls-per-s", self.duty_calls_per_s.as_deref(), 50, 1 << 20);
+        let window_s = number("--usage-window-s", self.usage_window_s.as_deref(), 5, 86_400);
+        let late_s = number("--usage-late-s", self.usage_late_s.as_deref(), 10, 86_400);
+        let api = faults.optional_addr("--platform-api", given(self.platform_api.as_deref()))?;
+        // The platform may have duties that this release does not know.
+        let names = given(self.duties.as_deref()).unwrap_or_default();
+        let has_duty = |duty| names.split(',').any(|name| name.trim() == duty);
+        Some(DutySettings {
+            api,
+            reports_usage: has_duty(USAGE_DUTY),
+            scales: has_duty(SCALE_DUTY),
+            calls_per_second: u32::try_from(calls?).ok()?,
+            usage_window_ms: window_s? * 1_000,
+            usage_late_ms: late_s? * 1_000,
+        })
+    }
+
+    /// Returns after which time keys are refused; `None` if they never are, or if a
+    /// value is a fault.
+    fn parse_revoke_ms(&self, faults: &mut Faults) -> Option<u64> {
+        let revoke_ms = given(self.revoke_ms.as_deref()).unwrap_or(DEFAULT_REVOKE_MS);
+        let revoke_ms = faults.number("--revoke-ms", revoke_ms, 0, 600_000);
+        match given(self.strict_revoke.as_deref()) {
+            None | Some("false") => None,
+            Some("true") => revoke_ms,
+            Some(other) => {
+                faults.add("--strict-revoke", Some(other), "true or false");
+                None
+            }
+        }
+    }
+}
+
+/// Returns the value of a flag unless it is empty: the platform's settings have no
+/// value for what a deployment does not use.
+fn given(value: Option<&str>) -> Option<&str> {
+    value.filter(|value| !value.is_empty())
 }
 
 impl ServeSettings {
--- a/crates/serve/src/generate.rs
+++ b/crates/serve/src/generate.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_adapter::CustomerHeader;
 use cassia_adapter::ResponseHead;
 use cassia_adapter::VERSION_FIELD;
 use cassia_adapter::decode_response_head;
@@ -79,6 +80,8 @@
     pub(crate) model: &'a ModelName,
     pub(crate) requests: &'a JobRequests,
     pub(crate) item: &'a Item,
+    /// What the engine learns about the job's customer.
+    pub(crate) customer: CustomerHeader<'a>,
     pub(crate) engine: &'a InFlight,
     /// The connections that it may use.
     pub(crate) connections: Connections,
@@ -121,8 +124,16 @@
         let info = &self.engine.target().info;
         let (addr, id) = (info.addr, info.id.as_str());
         let after = text.last_event_id();
-        let request =
-            item_request(addr, id, self.host, self.item, after, ITEM_PRIORITY, ITEM_TIMEOUT);
+        let request = item_request(
+            addr,
+            id,
+            self.host,
+            self.item,
+            after,
+            ITEM_PRIORITY,
+            ITEM_TIMEOUT,
+            self.customer,
+        );
         let request = match request {
             Ok(request) => request,
             Err(e) => {
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -34,6 +34,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::accounts::Requester;
+use crate::accounts::identify;
+use crate::accounts::identify_customer;
 use crate::app::App;
 use crate::body;
 use crate::call;
@@ -248,11 +251,18 @@
         return refuse(app, &head.id, Refusal::NotConfigured);
     };
     if let Some(call) = decode_job_call(req.method(), req.uri(), req.headers()) {
-        return job_calls::handle(app, call).await;
+        return match identify_customer(&table, head.key.as_ref()) {
+            Ok(requester) => job_calls::handle(app, call, &requester).await,
+            Err(refusal) => refuse(app, &head.id, refusal),
+        };
     }
     let Some(route) = table.find(&head.host, req.uri().path()).cloned() else {
         return refuse(app, &head.id, Refusal::NoRoute);
     };
+    let requester = match identify(&table, &route, head.key.as_ref()) {
+        Ok(requester) => requester,
+        Err(refusal) => return refuse(app, &head.id, refusal),
+    };
     let (parts, incoming) = req.into_parts();
     let body = match body::read(incoming, &table.limits, &app.body_budget).await {
         Ok(body) => body,
@@ -260,14 +270,14 @@
     };
     match route.kind {
         RouteKind::Job if parts.method == Method::POST => {
-            submit::handle(app, &head, &route, &parts, body).await
+            submit::handle(app, &head, &route, &parts, body, &requester).await
         }
         RouteKind::Job => Refusal::BadRequest.response("submit"),
         RouteKind::Stream { .. } => {
-            stream::handle(app, &head, &route, &outgoing_request(parts, body)).await
+            stream::handle(app, &head, &route, &outgoing_request(parts, body, requester)).await
         }
         RouteKind::Idempotent | RouteKind::NonIdempotent => {
-            call::handle(app, &head, &route, outgoing_request(parts, body)).await
+            call::handle(app, &head, &route, outgoing_request(parts, body, requester)).await
         }
     }
 }
@@ -280,6 +290,12 @@
     refusal.response("route")
 }
 
-fn outgoing_request(parts: Parts, body: Bytes) -> call::OutgoingRequest {
-    call::OutgoingRequest { method: parts.method, uri: parts.uri, headers: parts.headers, body }
+fn outgoing_request(parts: Parts, body: Bytes, requester: Requester) -> call::OutgoingRequest {
+    call::OutgoingRequest {
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        requester,
+    }
 }
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use cassia_adapter::CustomerHeader;
 use cassia_adapter::reward_request;
 use cassia_ids::ModelName;
 use cassia_ids::TargetId;
@@ -26,6 +27,7 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
+use crate::accounts::Requester;
 use crate::app::App;
 use crate::call::Call;
 use crate::call::CallOutcome;
@@ -165,6 +167,23 @@
         self.app.state.owned.borrow().contains(&self.partition)
     }
 
+    /// Returns on whose behalf its requests are sent; a job without a customer was
+    /// accepted under a configuration without accounts.
+    fn requester(&self) -> Requester {
+        match self.submission.customer.as_str() {
+            "" => Requester::Unidentified,
+            customer => Requester::Job(customer.into()),
+        }
+    }
+
+    /// Returns what engines learn about the customer of its items.
+    fn customer_header(&self) -> CustomerHeader<'_> {
+        match self.submission.customer.as_str() {
+            "" => CustomerHeader::Unchanged,
+            customer => CustomerHeader::Named(customer),
+        }
+    }
+
     /// Waits until this process owns the partition.
     pub(crate) async fn wait_until_owned(&self) {
         let mut owned = self.app.state.owned.subscribe();
@@ -313,6 +332,7 @@
                 model: &self.model,
                 requests: &self.requests,
                 item,
+                customer: self.customer_header(),
                 engine,
                 connections: if break_off.is_some() {
                     Connections::Proven
@@ -456,8 +476,13 @@
         };
         let deadline = Instant::now() + route.timeout();
         let id = SmolStr::new(&reward.id);
-        let outgoing =
-            OutgoingRequest { method: Method::POST, uri, headers, body: reward.body.clone() };
+        let outgoing = OutgoingRequest {
+            method: Method::POST,
+            uri,
+            headers,
+            body: reward.body.clone(),
+            requester: self.requester(),
+        };
         let call = Call {
             app: &self.app,
             id: &id,
--- a/crates/serve/src/job_calls.rs
+++ b/crates/serve/src/job_calls.rs
@@ -8,6 +8,7 @@
 use cassia_adapter::encode_results;
 use cassia_clients::StoreError;
 use cassia_clients::StoreErrorKind;
+use cassia_jobs::Job;
 use cassia_jobs::JobRecord;
 use cassia_jobs::MAX_PAGE_KB;
 use cassia_jobs::ResultRef;
@@ -15,6 +16,7 @@
 use http::StatusCode;
 use tokio::time::sleep;
 
+use crate::accounts::Requester;
 use crate::app::App;
 use crate::job_log::SubmissionRef;
 use crate::response::Body;
@@ -51,13 +53,13 @@
 }
 
 /// Handles a call about a submitted batch job.
-pub(crate) async fn handle(app: &App, call: JobCall) -> Response<Body> {
+pub(crate) async fn handle(app: &App, call: JobCall, requester: &Requester) -> Response<Body> {
     let (step, response) = match &call {
         JobCall::Read { job, after, wait } => {
-            ("read results", read_results(app, job, *after, (*wait).min(MAX_WAIT)).await)
+            ("read results", read_results(app, job, requester, *after, (*wait).min(MAX_WAIT)).await)
         }
-        JobCall::Body { job, item } => ("read a body", read_body(app, job, item).await),
-        JobCall::End { job } => ("end", end_job(app, job).await),
+        JobCall::Body { job, item } => ("read a body", read_body(app, job, requester, item).await),
+        JobCall::End { job } => ("end", end_job(app, job, requester).await),
     };
     response.unwrap_or_else(|e| {
         log::info!(event = "job_call_refused", step, call:? = call; "{e}");
@@ -68,6 +70,7 @@
 async fn read_results(
     app: &App,
     job: &str,
+    requester: &Requester,
     after: usize,
     wait: Duration,
 ) -> Result<Response<Body>, StoreError> {
@@ -77,7 +80,7 @@
     let (read_until, deadline) = (wait_until + READ_PATIENCE, wait_until + CALLER_PATIENCE);
     app.job_log.read_to_end(partition, read_until).await?;
     loop {
-        match available_results(app, partition, job, after) {
+        match available_results(app, partition, job, requester, after) {
             AvailableResults::NoSuchJob => return Ok(Refusal::NoSuchJob.response("read results")),
             AvailableResults::Found { refs, item_count } => {
                 let results = app.job_log.results(partition, &refs, deadline).await?;
@@ -100,9 +103,15 @@
     }
 }
 
-fn available_results(app: &App, partition: u32, job: &str, after: usize) -> AvailableResults {
+fn available_results(
+    app: &App,
+    partition: u32,
+    job: &str,
+    requester: &Requester,
+    after: usize,
+) -> AvailableResults {
     let table = app.job_log.table(partition);
-    let Some(job) = table.job(job) else {
+    let Some(job) = table.job(job).filter(|job| owns(requester, job)) else {
         return AvailableResults::NoSuchJob;
     };
     let item_count = job.item_count();
@@ -113,7 +122,12 @@
     AvailableResults::Found { refs, item_count }
 }
 
-async fn read_body(app: &App, job: &str, item: &str) -> Result<Response<Body>, StoreError> {
+async fn read_body(
+    app: &App,
+    job: &str,
+    requester: &Requester,
+    item: &str,
+) -> Result<Response<Body>, StoreError> {
     check_store(app)?;
     let partition = app.job_log.partition_of(job);
     let now = Instant::now();
@@ -121,7 +135,7 @@
     app.job_log.read_to_end(partition, read_until).await?;
     let submission = {
         let table = app.job_log.table(partition);
-        table.job(job).filter(|job| !job.ended).map(SubmissionRef::from)
+        table.job(job).filter(|job| !job.ended && owns(requester, job)).map(SubmissionRef::from)
     };
     let Some(submission) = submission else {
         return Ok(Refusal::NoSuchJob.response("read a body"));
@@ -134,6 +148,15 @@
     ))
 }
 
+/// Returns whether a job is shown to whoever asks: to its own customer, or to all if
+/// the configuration has no accounts.
+fn owns(requester: &Requester, job: &Job) -> bool {
+    match requester {
+        Requester::Unidentified => true,
+        requester => requester.customer() == Some(&job.customer),
+    }
+}
+
 /// Refuses a read at once where the store is known to be out of reach: another
 /// host may answer it.
 fn check_store(app: &App) -> Result<(), StoreError> {
@@ -144,11 +167,15 @@
     Ok(())
 }
 
-async fn end_job(app: &App, job: &str) -> Result<Response<Body>, StoreError> {
+async fn end_job(
+    app: &App,
+    job: &str,
+    requester: &Requester,
+) -> Result<Response<Body>, StoreError> {
     let partition = app.job_log.partition_of(job);
     let until = Instant::now() + END_RETRY_LIMIT;
     loop {
-        match try_end_job(app, partition, job, until).await {
+        match try_end_job(app, partition, job, requester, until).await {
             Ok(response) => return Ok(response),
             Err(e) if Instant::now() + RETRY_DELAY >= until => return Err(e),
             Err(_) => sleep(RETRY_DELAY).await,
@@ -160,10 +187,14 @@
     app: &App,
     partition: u32,
     job: &str,
+    requester: &Requester,
     deadline: Instant,
 ) -> Result<Response<Body>, StoreError> {
     app.job_log.read_to_end(partition, deadline).await?;
-    let ended = app.job_log.table(partition).job(job).map(|job| job.ended);
+    let ended = {
+        let table = app.job_log.table(partition);
+        table.job(job).filter(|job| owns(requester, job)).map(|job| job.ended)
+    };
     match ended {
         None => return Ok(Refusal::NoSuchJob.response("end")),
         Some(true) => {}
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -1,5 +1,6 @@
 //! The program that serves callers and trainers on the platform.
 
+mod accounts;
 mod answer;
 mod app;
 mod attempts;
--- a/crates/serve/src/response.rs
+++ b/crates/serve/src/response.rs
@@ -21,6 +21,8 @@
     NotConfigured,
     /// No route matches the request.
     NoRoute,
+    /// No account has the caller's key.
+    UnknownKey,
     /// The request is invalid.
     BadRequest,
     /// The body is larger than allowed.
@@ -74,6 +76,7 @@
             | Self::UnknownSoftware => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute | Self::NoSuchJob => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
@@ -86,6 +89,7 @@
         match self {
             Self::NotConfigured => "not_configured",
             Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
             Self::BadRequest => "bad_request",
             Self::TooLarge => "too_large",
             Self::BodyTimeout => "too_slow",
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -98,6 +98,7 @@
             &outgoing.headers,
             outgoing.body.clone(),
             caller_timeout,
+            outgoing.requester.header(),
         );
         let Ok(request) = request else {
             return Refusal::BadRequest.response("stream");
--- a/crates/serve/src/submit.rs
+++ b/crates/serve/src/submit.rs
@@ -13,6 +13,7 @@
 use http::StatusCode;
 use http::request::Parts;
 
+use crate::accounts::Requester;
 use crate::app::App;
 use crate::clock::unix_ms;
 use crate::response::Body;
@@ -55,10 +56,11 @@
     route: &Route,
     parts: &Parts,
     body: Bytes,
+    requester: &Requester,
 ) -> Response<Body> {
     let accepted_ms = unix_ms();
     let job = decode_submission(&head.id, &head.host, parts.uri.path(), accepted_ms, &body);
-    let job = match job {
+    let mut job = match job {
         Ok(job) if !head.id.is_empty() => job,
         Ok(_) => return Refusal::BadRequest.response("submit"),
         Err(e) => {
@@ -66,6 +68,7 @@
             return Refusal::BadRequest.response("submit");
         }
     };
+    job.customer = requester.customer().map(ToString::to_string).unwrap_or_default();
     let records = match job.to_records(app.settings.record_bytes, app.settings.append_bytes) {
         Ok(records) => records,
         Err(e) => {
