--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -203,6 +203,22 @@
         number
     }
 
+    /// Parses a number in a range that may have a fraction, and multiplies it by
+    /// 1,000: seconds become milliseconds.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the range has been checked"
+    )]
+    pub fn thousandths(&mut self, flag: &str, value: &str, min: u32, max: u32) -> Option<u64> {
+        let range = f64::from(min)..=f64::from(max);
+        let number = value.parse().ok().filter(|n: &f64| range.contains(n));
+        if number.is_none() {
+            self.add(flag, Some(value), &format!("a number from {min} to {max}"));
+        }
+        number.map(|number| (number * 1_000.0).round() as u64)
+    }
+
     fn parse<T: FromStr>(&mut self, flag: &str, value: Option<&str>, accepted: &str) -> Option<T> {
         let parsed = value.and_then(|value| value.parse().ok());
         if parsed.is_none() {
--- a/crates/serve/src/flags.rs
+++ b/crates/serve/src/flags.rs
@@ -183,12 +183,12 @@
 
     /// Returns the duties; `None` without an API, or if a value is a fault.
     fn parse_duties(&self, faults: &mut Faults) -> Option<DutySettings> {
-        let mut number = |flag, value: Option<&str>, default, max| {
-            given(value).map_or(Some(default), |value| faults.number(flag, value, 1, max))
+        let mut thousandths = |flag, value: Option<&str>, default| {
+            faults.thousandths(flag, given(value).unwrap_or(default), 1, 86_400)
         };
-        let calls = number("--duty-calls-per-s", self.duty_calls_per_s.as_deref(), 50, 1 << 20);
-        let window_s = number("--usage-window-s", self.usage_window_s.as_deref(), 5, 86_400);
-        let late_s = number("--usage-late-s", self.usage_late_s.as_deref(), 10, 86_400);
+        let calls = thousandths("--duty-calls-per-s", self.duty_calls_per_s.as_deref(), "50");
+        let window_ms = thousandths("--usage-window-s", self.usage_window_s.as_deref(), "5");
+        let late_ms = thousandths("--usage-late-s", self.usage_late_s.as_deref(), "10");
         let api = faults.optional_addr("--platform-api", given(self.platform_api.as_deref()))?;
         // The platform may have duties that this release does not know.
         let names = given(self.duties.as_deref()).unwrap_or_default();
@@ -197,9 +197,9 @@
             api,
             reports_usage: has_duty(USAGE_DUTY),
             scales: has_duty(SCALE_DUTY),
-            calls_per_second: u32::try_from(calls?).ok()?,
-            usage_window_ms: window_s? * 1_000,
-            usage_late_ms: late_s? * 1_000,
+            calls_per_second: u32::try_from(calls? / 1_000).ok()?,
+            usage_window_ms: window_ms?,
+            usage_late_ms: late_ms?,
         })
     }
 
--- a/crates/trials/tests/programs.rs
+++ b/crates/trials/tests/programs.rs
@@ -84,6 +84,31 @@
     }
 }
 
+/// Guards against a process that ends at its start because the platform writes a
+/// whole number with a fraction, or leaves a value that a deployment lacks empty.
+#[rstest]
+#[case::with_fractions(&["--platform-api=127.0.0.1:4", "--duties=usage_report,other",
+    "--duty-calls-per-s=50.0", "--usage-window-s=2.5", "--strict-revoke=true",
+    "--revoke-ms=4000"], "")]
+#[case::empty(&["--platform-api=", "--duties=", "--duty-calls-per-s=", "--usage-window-s=",
+    "--usage-late-s=", "--strict-revoke=", "--revoke-ms="], "")]
+#[case::no_duration(&["--usage-window-s=0"], "--usage-window-s is \"0\"")]
+#[case::not_finite(&["--duty-calls-per-s=inf"], "--duty-calls-per-s is \"inf\"")]
+#[case::no_boolean(&["--strict-revoke=yes"], "--strict-revoke is \"yes\"; accepted: true or")]
+#[case::no_address(&["--platform-api=here"], "--platform-api is \"here\"")]
+fn settings_that_only_some_deployments_have_are_checked(
+    #[case] flags: &[&str],
+    #[case] fault: &str,
+) {
+    let mut command = program("cassia-serve");
+    command.args(["--host=h1", "--data-centre=z1", "--listen=127.0.0.1:1", "--check"]);
+    command.args(["--ready=127.0.0.1:2", "--store=127.0.0.1:3"]).args(flags);
+    let output = command.output().expect("it runs");
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.success(), fault.is_empty(), "{stderr}");
+    assert!(stderr.contains(fault), "{stderr}");
+}
+
 #[rstest]
 #[case("cassia-entry")]
 #[case("cassia-rollout")]
