Serve: the lease stream apart from the orders, and the lease of duties

Cause: what one host at a time does for the platform needs a lease, and the weights controller had the reading and appending of the lease stream to itself. Ruled out: a second copy of that code. Change: lease_stream.rs has it, unchanged; weights.rs uses it. duties.rs has the trait of a duty, the lease 'duties', and the sending of calls: within the lease, within a limit of calls a second, and never after a suspension. Without an address of the platform's API, or without duties, no task starts.

--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -11,6 +11,7 @@
 use crate::body;
 use crate::clock::BootClock;
 use crate::clock::Clock;
+use crate::duties::DutyContext;
 use crate::flags::ServeSettings;
 use crate::hosts::ReadPosition;
 use crate::job_log::JobLog;
@@ -32,6 +33,8 @@
     /// How far the other hosts' announcements are read.
     pub(crate) hosts_position: Mutex<ReadPosition>,
     pub(crate) clock: Box<dyn Clock>,
+    /// The duties of one host at a time; `None` if the platform has no API.
+    pub(crate) duties: Option<Arc<DutyContext>>,
     pub(crate) job_log: JobLog,
     /// The requests under which targets crashed.
     pub(crate) quarantine: Quarantine,
@@ -52,6 +55,10 @@
         response_budget: &Arc<ByteBudget>,
     ) -> Self {
         let page = MetricsPage::default();
+        let clock = BootClock::new();
+        let duties = settings.duties.as_ref();
+        let duties =
+            duties.map(|duties| Arc::new(DutyContext::new(duties, response_budget, clock.now())));
         let state = SharedState::new(settings);
         let relay = Arc::new(HostRelay::new(settings, &state.store_contact));
         let job_log = JobLog::new(&store, &state.store_contact, settings.store_parts);
@@ -65,7 +72,8 @@
             clients: TargetClients::new(response_budget, &relay),
             relay,
             hosts_position: Mutex::default(),
-            clock: Box::new(BootClock::new()),
+            clock: Box::new(clock),
+            duties,
             metrics: Metrics::to_page(&page),
             page,
             settings: settings.clone(),
--- a/crates/serve/src/flags.rs
+++ b/crates/serve/src/flags.rs
@@ -117,7 +117,6 @@
     pub(crate) append_bytes: usize,
     pub(crate) lease_ms: u64,
     /// `None` if the platform has no API.
-    #[expect(dead_code, reason = "the duties follow in the next changes")]
     pub(crate) duties: Option<DutySettings>,
     /// How long after the last read of the configuration keys are refused, in
     /// milliseconds; `None` if they are not.
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -6,8 +6,11 @@
 mod attempts;
 mod body;
 mod call;
+mod call_rate;
 mod clock;
 mod config;
+#[expect(dead_code, reason = "the duties follow in the next changes")]
+mod duties;
 mod exposure;
 mod flags;
 mod follow;
@@ -23,6 +26,7 @@
 mod job_log;
 mod job_requests;
 mod keyed_reader;
+mod lease_stream;
 mod ops;
 mod order;
 mod ownership;
@@ -105,6 +109,7 @@
     let runners = TaskTracker::new();
     let ownership = runners.spawn(ownership::run(Arc::clone(&app)));
     let weights = tokio::spawn(weights::run(Arc::clone(&app)));
+    let duties = duties::start(&app);
     ingress::wait_for_stop_signal(&app).await?;
     let deadline = Instant::now() + settings.stop_limit();
     runners.close();
@@ -119,7 +124,9 @@
     server.close(deadline).await;
     // Beyond the limit, requests of other hosts' callers are cut off too.
     let _ = timeout_at(deadline.into(), forwarded.wait()).await;
-    for (task, step) in [(ownership, "runners"), (weights, "orders")] {
+    let controllers = [(Some(ownership), "runners"), (Some(weights), "orders"), (duties, "duties")];
+    for (task, step) in controllers {
+        let Some(task) = task else { continue };
         // In an outage of the store, results and the lease can't be handed on.
         // The jobs go on elsewhere without them, and the lease expires.
         match timeout_at(deadline.into(), task).await {
--- a/crates/serve/src/weights.rs
+++ b/crates/serve/src/weights.rs
@@ -11,18 +11,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
-use cassia_clients::PartitionRef;
-use cassia_clients::StoreError;
-use cassia_clients::StoreErrorKind;
 use cassia_ids::ModelName;
 use cassia_ids::Version;
-use cassia_lease::Contender;
 use cassia_lease::HeldLease;
-use cassia_lease::LeaseClient;
-use cassia_lease::LeaseRecord;
-use cassia_lease::NextRecord;
-use cassia_lease::STREAM;
 use cassia_orders::DueLoad;
 use cassia_orders::EngineModels;
 use cassia_orders::EngineState;
@@ -32,12 +23,14 @@
 use cassia_orders::max_loads;
 use cassia_orders::schedule_loads;
 use cassia_route::Heartbeat;
-use smol_str::format_smolstr;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use crate::app::App;
+use crate::lease_stream::LeaseStream;
+use crate::lease_stream::MAX_CONTENDERS;
+use crate::lease_stream::ROUND_INTERVAL;
 use crate::order;
 use crate::order::EngineReports;
 use crate::order::MAX_ORDER_DELAY;
@@ -46,28 +39,13 @@
 
 /// The lease for sending orders to the engines.
 const LEASE: &str = "orders";
-/// How long the lease is valid after its last renewal was sent.
-const TERM: Duration = Duration::from_millis(1_500);
-/// Number of records after which the lease table is appended as a snapshot.
-const RECORDS_PER_SNAPSHOT: u64 = 150;
-/// How often a round of orders is scheduled.
-const ROUND_INTERVAL: Duration = Duration::from_millis(150);
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Number of ranks that contend for the lease. The higher the rank, the longer
-/// a process waits before it does.
-const MAX_CONTENDERS: u32 = 2;
-/// Number of terms after which the lease stream is reset if its older records
-/// are lost.
-const RESET_AFTER_TERMS: u32 = 3;
-
-const PARTITION: PartitionRef<'static> = PartitionRef { topic: STREAM, partition: 0 };
 
 /// Runs until a planned stop has served its last request, then hands the lease
 /// over. A process that does not hold the lease ends as soon as the stop begins.
 pub(crate) async fn run(app: Arc<App>) {
     let mut controller = WeightsController::new(&app);
     let mut drained = app.state.drained.subscribe();
-    controller.read_at_start(&app).await;
+    controller.lease.read_at_start(&app).await;
     while !*drained.borrow() && (!app.state.is_stopping() || controller.held_fence.is_some()) {
         let rank = app.state.duty_rank.load().as_deref().copied();
         let is_cut_off = app.relay.is_cut_off();
@@ -94,12 +72,10 @@
 
 #[derive(Debug)]
 struct WeightsController {
-    lease: LeaseClient,
+    lease: LeaseStream,
     trackers: BTreeMap<ModelName, LoadTracker>,
     /// The fencing token of the lease, if this process holds it.
     held_fence: Option<u64>,
-    /// When to reset the lease stream, if its older records are lost.
-    reset_at: Option<Instant>,
     /// Latest time at which the last order may arrive.
     last_order_arrival: watch::Sender<Option<Instant>>,
     /// The lease as the orders under way see it.
@@ -112,18 +88,10 @@
 
 impl WeightsController {
     fn new(app: &App) -> Self {
-        let now = app.clock.now();
-        // The address distinguishes successive hosts of the same name, and no
-        // two processes can listen on it at once.
-        let holder = format_smolstr!("{}@{}", app.state.host, app.settings.listen);
-        let contender = Contender::new(LEASE.into(), holder, app.state.boot, TERM, now);
-        let lease =
-            LeaseClient::new(contender.sole_on_host(), RECORDS_PER_SNAPSHOT, quiet_period(app));
         Self {
-            lease,
+            lease: LeaseStream::new(app, LEASE, quiet_period(app)),
             trackers: BTreeMap::new(),
             held_fence: None,
-            reset_at: None,
             last_order_arrival: watch::Sender::new(None),
             held: watch::Sender::new(None),
             orders: JoinSet::new(),
@@ -131,16 +99,8 @@
         }
     }
 
-    /// Reads the stream once in every process: this one may take over at once
-    /// from an earlier process of its host, while others must wait for a term.
-    async fn read_at_start(&mut self, app: &App) {
-        while !app.state.is_stopping() && self.read(app).await.is_err() {
-            app.state.sleep_unless_stopping(ROUND_INTERVAL).await;
-        }
-    }
-
     async fn round(&mut self, app: &Arc<App>) {
-        if let Err(e) = self.contend(app).await {
+        if let Err(e) = self.lease.contend(app).await {
             log::debug!(event = "store_away", step = e.step; "{e}");
         }
         let held = self.lease.held_lease(app.clock.now());
@@ -174,62 +134,6 @@
         }
     }
 
-    /// Reads the lease stream and takes the next step in contending for the
-    /// lease.
-    async fn contend(&mut self, app: &App) -> Result<(), StoreError> {
-        self.read(app).await?;
-        let now = app.clock.now();
-        if self.lease.has_gap() {
-            return self.reset_when_due(app, now).await;
-        }
-        self.reset_at = None;
-        if let Some(NextRecord::Append(record)) = self.lease.step(now) {
-            append(app, &record).await?;
-            // The record takes effect once it is read back.
-            self.read(app).await?;
-        }
-        Ok(())
-    }
-
-    async fn read(&mut self, app: &App) -> Result<(), StoreError> {
-        loop {
-            let from = self.lease.next_read();
-            let deadline = Instant::now() + CALL_TIMEOUT;
-            let read = app.store.read(PARTITION, from, 256, Duration::ZERO, deadline).await;
-            let records = match read {
-                Ok(records) => records,
-                Err(StoreError { kind: StoreErrorKind::Expired { oldest }, .. }) => {
-                    self.lease.apply_records(oldest, oldest, &[], oldest, app.clock.now());
-                    continue;
-                }
-                Err(e) => return Err(e),
-            };
-            let parsed: Vec<_> =
-                records.records.iter().map(|r| serde_json::from_slice(r).ok()).collect();
-            let next = records.start + parsed.len() as u64;
-            self.lease.apply_records(
-                records.oldest,
-                records.start,
-                &parsed,
-                records.end,
-                app.clock.now(),
-            );
-            if next >= records.end {
-                return Ok(());
-            }
-        }
-    }
-
-    async fn reset_when_due(&mut self, app: &App, now: Instant) -> Result<(), StoreError> {
-        let reset_at = *self.reset_at.get_or_insert(now + TERM * RESET_AFTER_TERMS);
-        if now < reset_at {
-            return Ok(());
-        }
-        self.reset_at = None;
-        log::warn!(event = "lease_reset", step = "lease"; "older records are lost; resetting the lease stream");
-        append(app, &LeaseRecord::Reset).await
-    }
-
     /// Hands the lease over. The next process of this host may send orders at
     /// once; other hosts wait for the minimum time after the last order.
     async fn hand_over(&mut self, app: &App) {
@@ -237,13 +141,8 @@
         let min_interval = Duration::from_millis(app.settings.lease_ms);
         let last_arrival = *self.last_order_arrival.borrow();
         let quiet_until = last_arrival.map(|arrival| arrival + min_interval);
-        let Some(op) = self.lease.release(app.clock.now(), quiet_until) else {
-            return;
-        };
-        self.update_held(None);
-        // If the append fails, the lease expires by itself.
-        if let Err(e) = append(app, &LeaseRecord::Op(op)).await {
-            log::info!(event = "release_failed", step = e.step; "{e}");
+        if self.lease.hand_over(app, quiet_until).await {
+            self.update_held(None);
         }
     }
 
@@ -325,9 +224,3 @@
 fn quiet_period(app: &App) -> Duration {
     Duration::from_millis(app.settings.lease_ms) + MAX_ORDER_DELAY
 }
-
-async fn append(app: &App, record: &LeaseRecord) -> Result<(), StoreError> {
-    let bytes = Bytes::from(serde_json::to_vec(record).unwrap_or_default());
-    let deadline = Instant::now() + CALL_TIMEOUT;
-    app.store.append(PARTITION, &[bytes], deadline).await.map(|_| ())
-}
