--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -20,6 +20,7 @@
 use crate::resume::Streams;
 use crate::state::SharedState;
 use crate::target_clients::TargetClients;
+use crate::usage::Usage;
 
 /// The shared state and the clients of other systems.
 #[derive(Debug)]
@@ -35,6 +36,8 @@
     pub(crate) clock: Box<dyn Clock>,
     /// The duties of one host at a time; `None` if the platform has no API.
     pub(crate) duties: Option<Arc<DutyContext>>,
+    /// What this host counts; `None` if the usage is not reported.
+    pub(crate) usage: Option<Arc<Usage>>,
     pub(crate) job_log: JobLog,
     /// The requests under which targets crashed.
     pub(crate) quarantine: Quarantine,
@@ -57,6 +60,8 @@
         let page = MetricsPage::default();
         let clock = BootClock::new();
         let duties = settings.duties.as_ref();
+        let reported = duties.filter(|duties| duties.reports_usage);
+        let usage = reported.map(|duties| Arc::new(Usage::new(duties.usage_window_ms, &clock)));
         let duties =
             duties.map(|duties| Arc::new(DutyContext::new(duties, response_budget, clock.now())));
         let state = SharedState::new(settings);
@@ -74,6 +79,7 @@
             hosts_position: Mutex::default(),
             clock: Box::new(clock),
             duties,
+            usage,
             metrics: Metrics::to_page(&page),
             page,
             settings: settings.clone(),
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -54,6 +56,7 @@
 use crate::target_clients::Repeats;
 use crate::target_clients::Sender;
 use crate::target_clients::TargetAttempt;
+use crate::usage;
 
 /// A second target is tried if the first one has not answered after this
 /// percentage of the route's latency objective.
@@ -132,6 +135,8 @@
     pub(crate) digest: Option<RequestDigest>,
     /// The job that makes the call; `None` for callers' requests.
     pub(crate) job: Option<&'a JobRequests>,
+    /// Whether the use of a target is counted, which happens once.
+    pub(crate) is_counted: AtomicBool,
     pub(crate) deadline: Instant,
     /// Until when the caller waits; not before `deadline`.
     pub(crate) caller_deadline: Instant,
@@ -154,7 +159,18 @@
     let digest = Some(outgoing.digest(&head.host));
     let id = &head.id;
     let job = None;
-    let call = Call { app, id, route, service, outgoing, digest, job, deadline, caller_deadline };
+    let call = Call {
+        app,
+        id,
+        route,
+        service,
+        outgoing,
+        digest,
+        job,
+        is_counted: AtomicBool::new(false),
+        deadline,
+        caller_deadline,
+    };
     let outcome = match route.kind {
         RouteKind::Idempotent => call.run_idempotent().await,
         _ => call.run_at_most_once().await,
@@ -410,6 +426,9 @@
         }
         if !head.not_run {
             self.app.clients.record_answer(info.addr, self.id);
+            if !self.is_counted.swap(true, Ordering::Relaxed) {
+                usage::count(self.app, &self.outgoing.requester, sent_at);
+            }
         }
         record_load(self.app, in_flight, &head);
         if head.not_run {
--- a/crates/serve/src/duties.rs
+++ b/crates/serve/src/duties.rs
@@ -36,6 +36,7 @@
 use crate::lease_stream::MAX_CONTENDERS;
 use crate::lease_stream::ROUND_INTERVAL;
 use crate::state::lock;
+use crate::usage::UsageDuty;
 
 /// The lease for the calls of the platform's API.
 const LEASE: &str = "duties";
@@ -222,7 +223,9 @@
 /// Starts the duties of the settings; returns `None` if there are none.
 pub(crate) fn start(app: &Arc<App>) -> Option<JoinHandle<()>> {
     let context = Arc::clone(app.duties.as_ref()?);
-    let duties: Vec<Box<dyn Duty>> = Vec::new();
+    let usage = app.usage.iter().cloned();
+    let usage = usage.map(|usage| UsageDuty::new(usage, Arc::clone(&context)));
+    let duties: Vec<Box<dyn Duty>> = usage.map(|duty| Box::new(duty) as _).collect();
     (!duties.is_empty()).then(|| tokio::spawn(run(Arc::clone(app), context, duties)))
 }
 
--- a/crates/serve/src/forwarded_stream.rs
+++ b/crates/serve/src/forwarded_stream.rs
@@ -22,8 +22,10 @@
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
 
+use crate::accounts::Requester;
 use crate::app::App;
 use crate::response::Body;
+use crate::usage;
 
 /// Time without an event after which a stream that has lasted for its route's time limit
 /// is broken off.
@@ -34,6 +36,7 @@
     pub(crate) app: &'a Arc<App>,
     pub(crate) head: &'a RequestHead,
     pub(crate) digest: RequestDigest,
+    pub(crate) requester: &'a Requester,
     pub(crate) in_flight: InFlight,
     /// When the time limit of the request's route ends.
     pub(crate) route_deadline: Instant,
@@ -61,6 +64,8 @@
         app: Arc::clone(cx.app),
         id: cx.head.id.clone(),
         digest: cx.digest,
+        // A stream that goes on under the id of its first attempt is counted already.
+        uncounted: (cx.head.resumes.as_ref() != Some(&cx.head.id)).then(|| cx.requester.clone()),
         body,
         in_flight: cx.in_flight,
         route_deadline: cx.route_deadline,
@@ -81,6 +86,8 @@
     last_id: Option<u64>,
     /// Whether the stream goes on after an event that the caller has.
     is_resumed: bool,
+    /// Whether the target has sent an event.
+    has_event: bool,
 }
 
 impl Events {
@@ -89,6 +96,7 @@
             parser: EventParser::new(VERSION_FIELD),
             last_id: head.last_event_id,
             is_resumed: head.resumes.is_some(),
+            has_event: false,
         }
     }
 
@@ -106,6 +114,7 @@
     fn check(&mut self, event: &Event) -> Result<(), StreamError> {
         let is_next = event.id.is_some() && event.id > self.last_id;
         self.last_id = event.id;
+        self.has_event |= is_next;
         if is_next { Ok(()) } else { Err(StreamError::OutOfOrder) }
     }
 
@@ -125,6 +134,8 @@
     app: Arc<App>,
     id: RequestId,
     digest: RequestDigest,
+    /// For whom the stream is, until its first event is counted.
+    uncounted: Option<Requester>,
     body: Incoming,
     in_flight: InFlight,
     route_deadline: Instant,
@@ -165,11 +176,21 @@
             };
             if !whole.is_empty() {
                 self.progress_at = Instant::now();
+                self.count_first_event();
                 return Ok(Some((Frame::data(whole), self)));
             }
         }
     }
 
+    /// Counts the request if its target has sent an event.
+    fn count_first_event(&mut self) {
+        if self.events.as_ref().is_some_and(|events| events.has_event)
+            && let Some(requester) = self.uncounted.take()
+        {
+            usage::count(&self.app, &requester, self.progress_at);
+        }
+    }
+
     /// Records that the target's stream is no stream of events, or none any more.
     fn broken_off(&self, e: StreamError) -> StreamError {
         let target = self.in_flight.target();
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -491,6 +492,7 @@
             outgoing,
             digest: None,
             job: Some(&self.requests),
+            is_counted: AtomicBool::new(false),
             deadline,
             caller_deadline: deadline,
         };
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -9,7 +9,6 @@
 mod call_rate;
 mod clock;
 mod config;
-#[expect(dead_code, reason = "the duties follow in the next changes")]
 mod duties;
 mod exposure;
 mod flags;
@@ -48,6 +47,7 @@
 mod target_clients;
 mod targets;
 mod token_time;
+mod usage;
 mod weights;
 
 use std::process::ExitCode;
@@ -110,6 +110,7 @@
     let ownership = runners.spawn(ownership::run(Arc::clone(&app)));
     let weights = tokio::spawn(weights::run(Arc::clone(&app)));
     let duties = duties::start(&app);
+    let usage = app.usage.is_some().then(|| tokio::spawn(usage::append_counts(Arc::clone(&app))));
     ingress::wait_for_stop_signal(&app).await?;
     let deadline = Instant::now() + settings.stop_limit();
     runners.close();
@@ -124,7 +125,12 @@
     server.close(deadline).await;
     // Beyond the limit, requests of other hosts' callers are cut off too.
     let _ = timeout_at(deadline.into(), forwarded.wait()).await;
-    let controllers = [(Some(ownership), "runners"), (Some(weights), "orders"), (duties, "duties")];
+    let controllers = [
+        (Some(ownership), "runners"),
+        (Some(weights), "orders"),
+        (usage, "usage"),
+        (duties, "duties"),
+    ];
     for (task, step) in controllers {
         let Some(task) = task else { continue };
         // In an outage of the store, results and the lease can't be handed on.
--- a/crates/serve/src/ops.rs
+++ b/crates/serve/src/ops.rs
@@ -94,9 +94,17 @@
         "cut_off": app.relay.is_cut_off(),
         "targets": targets_json,
         "jobs": jobs,
+        "duties": dump_duties(app),
     })
 }
 
+/// Dumps the lease and the state of the duties; `None` without any.
+fn dump_duties(app: &App) -> Option<Value> {
+    let fence = app.duties.as_ref()?.held_fence();
+    let unreported = app.usage.as_ref().map(|usage| usage.unreported());
+    Some(json!({"fence": fence, "unreported_windows": unreported}))
+}
+
 /// Dumps the open jobs of a partition; `None` if it has not been read.
 fn dump_partition(app: &App, partition: u32) -> Option<Value> {
     let table = app.job_log.table(partition);
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -6,9 +6,9 @@
 //! | `targets`, `versions` | the targets controller, and requests by their outcomes | all |
 //! | `store_contact` | the targets and ownership controllers | readiness, calls about batch jobs, other controllers, connections |
 //! | `owned` | the ownership controller | the runners |
-//! | `duty_rank` | the ownership controller | the weights controller |
+//! | `duty_rank` | the ownership controller | the weights and duties controllers |
 //! | `stopping` | the main task | all |
-//! | `drained` | the main task | the weights controller |
+//! | `drained` | the main task | the weights, duties and usage controllers |
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -59,7 +59,7 @@
     pub(crate) targets: ArcSwap<TargetSet>,
     /// The newest heartbeat of each present target.
     pub(crate) heartbeats: ArcSwap<Vec<Heartbeat>>,
-    /// The rank among the processes that contend for the lease on orders.
+    /// The rank among the processes that contend for the leases.
     pub(crate) duty_rank: ArcSwapOption<u32>,
     /// The partitions whose jobs this process runs.
     pub(crate) owned: watch::Sender<BTreeSet<u32>>,
--- a/crates/serve/src/stream.rs
+++ b/crates/serve/src/stream.rs
@@ -123,7 +123,9 @@
                         app.streams.begin(head, in_flight.target());
                         app.streams.wait_until_announced(app, in_flight.target()).await;
                     }
-                    let stream = StreamContext { app, head, digest, in_flight, route_deadline };
+                    let requester = &outgoing.requester;
+                    let stream =
+                        StreamContext { app, head, digest, requester, in_flight, route_deadline };
                     return forwarded_stream::forward(stream, response);
                 }
             }
