--- a/crates/serve/src/call_rate.rs
+++ b/crates/limits/src/call_rate.rs
@@ -9,7 +9,7 @@
 
 /// A token bucket from which at most a number of permits are taken in any second.
 #[derive(Clone, Debug)]
-pub(crate) struct CallRate {
+pub struct CallRate {
     permits: f64,
     burst: f64,
     refill_per_second: f64,
@@ -18,15 +18,16 @@
 
 impl CallRate {
     /// Creates a limit of this many calls in any second.
-    pub(crate) fn new(calls_per_second: u32, now: Instant) -> Self {
+    #[must_use]
+    pub fn new(calls_per_second: u32, now: Instant) -> Self {
         let limit = f64::from(calls_per_second);
         let burst = (limit * BURST_FRACTION).max(1.0);
         let refill_per_second = (limit - burst).max(MIN_REFILL);
         Self { permits: burst, burst, refill_per_second, updated_at: now }
     }
 
-    /// Takes a permit; returns `false` if there is none.
-    pub(crate) fn take(&mut self, now: Instant) -> bool {
+    /// Takes a permit for a call that is sent now; returns `false` if there is none.
+    pub fn take(&mut self, now: Instant) -> bool {
         let elapsed = now.saturating_duration_since(self.updated_at).as_secs_f64();
         self.permits = (self.permits + elapsed * self.refill_per_second).min(self.burst);
         self.updated_at = now;
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -24,10 +24,12 @@
 //! assert!((share.per_second - 4.0).abs() < 0.01);
 //! ```
 
+mod call_rate;
 mod claim;
 mod share;
 mod table;
 
+pub use crate::call_rate::CallRate;
 pub use crate::claim::HostClaims;
 pub use crate::claim::RateClaim;
 pub use crate::share::HostDemand;
--- a/crates/serve/src/duties.rs
+++ b/crates/serve/src/duties.rs
@@ -24,13 +24,13 @@
 use cassia_clients::PlatformApiErrorKind;
 use cassia_ids::Fence;
 use cassia_lease::HeldLease;
+use cassia_limits::CallRate;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 use crate::app::App;
-use crate::call_rate::CallRate;
 use crate::flags::DutySettings;
 use crate::lease_stream::LeaseStream;
 use crate::lease_stream::MAX_CONTENDERS;
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -6,7 +6,6 @@
 mod attempts;
 mod body;
 mod call;
-mod call_rate;
 mod clock;
 mod config;
 mod duties;
--- a/crates/usage/src/ledger.rs
+++ b/crates/usage/src/ledger.rs
@@ -201,9 +201,7 @@
         if now < self.settled_at {
             return UsageAction::Wait;
         }
-        // Windows that end too long ago come before this one.
-        let young_from = now.saturating_sub(MAX_DECIDE_AGE_MS).div_ceil(self.window_ms);
-        let from = first.max(young_from.saturating_sub(1));
+        let from = first.max(self.first_decidable(now));
         // Windows that end late enough before the last read.
         let until = read_at.min(now).saturating_sub(DECIDE_AFTER_MS) / self.window_ms;
         let is_open = |window: &u64| {
@@ -228,11 +226,18 @@
         (window + 1) * self.window_ms
     }
 
+    /// Returns the oldest window that is young enough to be decided.
+    fn first_decidable(&self, now: u64) -> u64 {
+        // The first window that ends at or after the oldest end.
+        let oldest_end = now.saturating_sub(MAX_DECIDE_AGE_MS);
+        oldest_end.div_ceil(self.window_ms).saturating_sub(1)
+    }
+
     /// Removes what is no longer needed.
     fn remove_old(&mut self, now: u64) {
         self.kept_from = self.kept_from.max(now.saturating_sub(MAX_AGE_MS) / self.window_ms);
         self.windows = self.windows.split_off(&self.kept_from);
-        let counted_from = now.saturating_sub(MAX_DECIDE_AGE_MS) / self.window_ms;
+        let counted_from = self.first_decidable(now);
         for window in self.windows.range_mut(..counted_from).map(|(_, window)| window) {
             window.by_host = BTreeMap::new();
         }
