Accounts: when the configuration is read for an unknown key, as a state machine

Cause: a host refused a key that it did not know at once, though the configuration may have changed just before.

Ruled out: the controller's own read, which the store holds back for up to a second; a read for each request, since callers alone decide how many unknown keys there are; overlapping reads, since two reads of 290 ms one after the other fit into the 700 ms that a request may wait.

Change: cassia_route::KeyReads (one read at a time, 100 ms apart, at most 256 waiting requests, each served by the first read that begins after it came), and RouteTable::priority, in which an account's priority replaces its route's.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod admission;
 mod choose;
+mod key_reads;
 mod pick;
 mod rate_limit;
 mod registry;
@@ -36,6 +37,14 @@
 pub use crate::choose::SlotPreference;
 pub use crate::choose::TargetQuery;
 pub use crate::choose::TargetSet;
+pub use crate::key_reads::KEY_READ_INTERVAL;
+pub use crate::key_reads::KEY_READ_TIMEOUT;
+pub use crate::key_reads::KEY_WAIT;
+pub use crate::key_reads::KeyReadState;
+pub use crate::key_reads::KeyReads;
+pub use crate::key_reads::KeyWaiter;
+pub use crate::key_reads::MAX_KEY_WAITERS;
+pub use crate::key_reads::NextKeyRead;
 pub use crate::registry::Heartbeat;
 pub use crate::registry::TargetRegistry;
 pub use crate::registry::Update;
--- a/crates/route/src/routing.rs
+++ b/crates/route/src/routing.rs
@@ -167,6 +167,15 @@
         routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Returns the priority of a customer's requests of a route: that of its account,
+    /// where it has one, in place of the route's.
+    #[must_use]
+    pub fn priority(&self, route: &Route, customer: Option<&str>) -> u32 {
+        let accounts = self.accounts.as_ref();
+        let account = customer.and_then(|customer| accounts?.get(customer));
+        account.and_then(|account| account.priority).unwrap_or(route.priority)
+    }
+
     /// Returns whether some route of a host accepts batch jobs.
     #[must_use]
     pub fn accepts_jobs(&self, host: &str) -> bool {
--- a/crates/route/tests/routing.rs
+++ b/crates/route/tests/routing.rs
@@ -1,5 +1,7 @@
 //! Lookup of routes by host name and longest prefix.
 
+use cassia_contract::Account;
+use cassia_contract::AccountTable;
 use cassia_route::CallerLimits;
 use cassia_route::JobLimits;
 use cassia_route::Route;
@@ -59,3 +61,23 @@
     assert_eq!((a, b), (90, 10));
     assert_eq!(route("r", "h", "/", &[]).pick_service(1), None);
 }
+
+#[rstest]
+#[case::of_the_account(Some("urgent"), 0)]
+#[case::account_without_one(Some("plain"), 2)]
+#[case::unknown_account(Some("removed"), 2)]
+#[case::no_customer(None, 2)]
+fn an_accounts_priority_replaces_its_routes(#[case] customer: Option<&str>, #[case] expected: u32) {
+    let account = |customer: &str, priority| Account {
+        customer: customer.into(),
+        keys: Vec::new(),
+        priority,
+        rate_per_second: None,
+    };
+    let accounts = vec![account("urgent", Some(0)), account("plain", None)];
+    let mut table = RouteTable::new(1, CallerLimits::default(), Vec::new());
+    let route = Route { priority: 2, ..route("r", "h", "/", &[]) };
+    assert_eq!(table.priority(&route, customer), 2, "without accounts");
+    table.accounts = Some(AccountTable::new(accounts));
+    assert_eq!(table.priority(&route, customer), expected);
+}
