Accounts: unknown keys, strict revocation, whose a job id is; trials

Cause: a key that was added just before was answered 401; a host without the store answered 401, which is final; a submission with the id of another customer's job was accepted without effect; a job without a customer was run in a deployment with accounts, with the headers that its items named; each request with an unknown key was a line of the log.

Ruled out: a reader of its own that keeps a position (the reads go on from the controller's position, so they transfer changes only); a read after each append of a job (needed only if the records before it were not read yet, which its offset shows).

--- a/crates/serve/src/accounts.rs
+++ b/crates/serve/src/accounts.rs
@@ -1,11 +1,16 @@
 //! For which customer a request is.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use cassia_adapter::ApiKey;
 use cassia_adapter::CustomerHeader;
 use cassia_ids::CustomerId;
 use cassia_route::Route;
+use cassia_route::RouteKind;
 use cassia_route::RouteTable;
 
+use crate::app::App;
 use crate::response::Refusal;
 
 /// On whose behalf a request is sent to a target.
@@ -39,37 +44,83 @@
             Self::Caller(customer) | Self::Job(customer) => Some(customer),
         }
     }
+
+    /// Returns whether a job of this customer is shown to whoever asks; an empty name
+    /// stands for no customer. Without accounts, every job is.
+    pub(crate) fn owns(&self, customer: &str) -> bool {
+        *self == Self::Unidentified || self.customer().is_some_and(|own| own == customer)
+    }
+
+    /// Returns the priority of its requests of a route.
+    #[expect(dead_code, reason = "admission control follows in the next changes")]
+    pub(crate) fn priority(&self, table: &RouteTable, route: &Route) -> u32 {
+        table.priority(route, self.customer().map(CustomerId::as_str))
+    }
 }
 
-/// Finds out for which customer a caller's request of a route is.
+/// Finds out for which customer a caller's request is. `route` is `None` for calls about
+/// batch jobs, which have no route of their own. A key that this host does not know is
+/// refused only after a read of the configuration.
 ///
 /// # Errors
 ///
-/// The route needs a key, and no account has the caller's.
-pub(crate) fn identify(
+/// The request needs a key, and no account has the caller's, or it can't be confirmed.
+pub(crate) async fn identify(
+    app: &App,
     table: &RouteTable,
-    route: &Route,
+    route: Option<&Route>,
     key: Option<&ApiKey>,
 ) -> Result<Requester, Refusal> {
-    if route.public && table.accounts.is_some() {
+    if table.accounts.is_none() {
+        return Ok(Requester::Unidentified);
+    }
+    if route.is_some_and(is_public) {
         return Ok(Requester::Public);
     }
-    identify_customer(table, key)
+    if is_outdated(app) {
+        return Err(Refusal::KeyUnconfirmed);
+    }
+    let key = key.ok_or(Refusal::UnknownKey)?;
+    if let Some(requester) = find(table, key) {
+        return Ok(requester);
+    }
+    app.key_reads.wait_for_read(|| find(app.state.routes.load().as_ref()?, key)).await
 }
 
-/// Finds out for which customer a request is that needs a key.
-///
-/// # Errors
-///
-/// No account has the caller's key.
-pub(crate) fn identify_customer(
-    table: &RouteTable,
-    key: Option<&ApiKey>,
-) -> Result<Requester, Refusal> {
+/// Returns whether the requests of a route need no key. Those that submit jobs do: a
+/// job without a customer is shown to nobody.
+fn is_public(route: &Route) -> bool {
+    route.public && route.kind != RouteKind::Job
+}
+
+/// Returns the customer that has a key.
+fn find(table: &RouteTable, key: &ApiKey) -> Option<Requester> {
     let Some(accounts) = &table.accounts else {
-        return Ok(Requester::Unidentified);
+        return Some(Requester::Unidentified);
     };
-    let account = key.and_then(|key| accounts.find(key.as_str()));
-    let account = account.ok_or(Refusal::UnknownKey)?;
-    Ok(Requester::Caller(account.customer.clone()))
+    accounts.find(key.as_str()).map(|account| Requester::Caller(account.customer.clone()))
+}
+
+/// Returns whether the configuration is too old to know which keys were removed.
+fn is_outdated(app: &App) -> bool {
+    let read_at = app.state.config_read_at.load();
+    let is_older = |limit| read_at.as_ref().is_none_or(|at| at.elapsed() > limit);
+    app.settings.revoke_ms.map(Duration::from_millis).is_some_and(is_older)
+}
+
+/// Records that a read of the configuration that began at this time has shown all of it.
+pub(crate) fn record_read(app: &App, began: Instant) {
+    let newest = app.state.config_read_at.load().as_deref().copied();
+    app.state.config_read_at.store(Some(newest.map_or(began, |at| at.max(began)).into()));
+}
+
+/// Returns whether the items of a job may run: where there are accounts, targets must
+/// learn for which customer they are.
+pub(crate) fn may_run_items(app: &App, customer: &str) -> bool {
+    !customer.is_empty() || !has_accounts(app)
+}
+
+/// Returns whether the configuration has accounts.
+pub(crate) fn has_accounts(app: &App) -> bool {
+    app.state.routes.load().as_ref().is_some_and(|table| table.accounts.is_some())
 }
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -14,6 +14,7 @@
 use crate::flags::ServeSettings;
 use crate::hosts::ReadPosition;
 use crate::job_log::JobLog;
+use crate::key_reads::ConfigReads;
 use crate::quarantine::Quarantine;
 use crate::relay::HostRelay;
 use crate::resume::Streams;
@@ -37,6 +38,8 @@
     pub(crate) quarantine: Quarantine,
     /// Which version of the software began which stream.
     pub(crate) streams: Streams,
+    /// Reads of the configuration for requests with unknown keys.
+    pub(crate) key_reads: ConfigReads,
     /// Memory used by request bodies that are not complete yet.
     pub(crate) body_budget: Arc<ByteBudget>,
     pub(crate) metrics: Metrics,
@@ -60,6 +63,7 @@
             job_log,
             quarantine: Quarantine::default(),
             streams: Streams::default(),
+            key_reads: ConfigReads::default(),
             body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
             store,
             clients: TargetClients::new(response_budget, &relay),
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -3,24 +3,30 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use cassia_adapter::OPERATOR_TOPIC;
 use cassia_adapter::OperatorRecord;
 use cassia_adapter::decode_operator_record;
 use cassia_clients::KeyedRecord;
+use cassia_clients::StoreError;
 use cassia_ids::ModelName;
 use cassia_ids::Version;
 use cassia_node::ReadBackoff;
 use cassia_route::RouteTable;
 use tokio::time::timeout;
 
+use crate::accounts;
 use crate::app::App;
+use crate::keyed_reader::KeyedRead;
 use crate::keyed_reader::KeyedReader;
 
 /// How long the store may hold a read back until there are records. Short, so
 /// that a dead connection is detected within the time in which a change must
 /// take effect.
 const LONG_POLL: Duration = Duration::from_secs(1);
+/// The least of that time, where keys are refused soon after the last read.
+const MIN_LONG_POLL: Duration = Duration::from_millis(100);
 /// How long a response of the store may take beyond the long poll.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum of that time, which grows while reads fail.
@@ -31,18 +37,22 @@
 /// Runs until the process ends.
 pub(crate) async fn run(app: Arc<App>) {
     let mut reader = KeyedReader::new(OPERATOR_TOPIC);
+    let long_poll = long_poll(app.settings.revoke_ms);
     let mut store_failed = false;
     let mut backoff = ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT);
     let mut store_back = app.state.store_contact.subscribe();
     loop {
+        let began = Instant::now();
         let read = tokio::select! {
-            read = reader.read(app.store.as_ref(), LONG_POLL, backoff.timeout()) => read,
+            read = reader.read(app.store.as_ref(), long_poll, backoff.timeout()) => read,
             // A read that was sent before the store was back may never end.
             _ = store_back.changed() => continue,
         };
         match read {
             Ok(read) => {
                 read.into_records().iter().for_each(|record| apply(&app, record));
+                accounts::record_read(&app, began);
+                app.key_reads.set_position(reader);
                 backoff.record_success();
                 if std::mem::take(&mut store_failed) {
                     log::info!(event = "store_back", step = "configuration"; "the store can be read again");
@@ -61,6 +71,31 @@
     }
 }
 
+/// Returns how long the store may hold a read back. The last read that ended began up to
+/// two such times ago, so keys would be refused for no reason if they were longer.
+fn long_poll(revoke_ms: Option<u64>) -> Duration {
+    let limit = revoke_ms.map(|ms| (Duration::from_millis(ms) / 4).max(MIN_LONG_POLL));
+    limit.map_or(LONG_POLL, |limit| limit.min(LONG_POLL))
+}
+
+/// Reads all changes from a position on, without waiting for more, and applies them.
+pub(crate) async fn read_to_end(app: &App, mut position: KeyedReader) -> Result<(), StoreError> {
+    let began = Instant::now();
+    loop {
+        let read = position.read(app.store.as_ref(), Duration::ZERO, READ_TIMEOUT).await?;
+        // A read of changes is limited in size, so only an empty one is the last.
+        let at_end = match &read {
+            KeyedRead::Snapshot(_) => true,
+            KeyedRead::Changes(records) => records.is_empty(),
+        };
+        read.into_records().iter().for_each(|record| apply(app, record));
+        if at_end {
+            accounts::record_read(app, began);
+            return Ok(());
+        }
+    }
+}
+
 fn apply(app: &App, record: &KeyedRecord) {
     match decode_operator_record(record) {
         Ok(OperatorRecord::Config(table)) => install(app, table),
--- a/crates/serve/src/flags.rs
+++ b/crates/serve/src/flags.rs
@@ -121,7 +121,6 @@
     pub(crate) duties: Option<DutySettings>,
     /// How long after the last read of the configuration keys are refused, in
     /// milliseconds; `None` if they are not.
-    #[expect(dead_code, reason = "the refusal follows in the next changes")]
     pub(crate) revoke_ms: Option<u64>,
     pub(crate) response_buffer_bytes: usize,
     pub(crate) stop_limit_ms: u64,
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -36,11 +36,11 @@
 
 use crate::accounts::Requester;
 use crate::accounts::identify;
-use crate::accounts::identify_customer;
 use crate::app::App;
 use crate::body;
 use crate::call;
 use crate::job_calls;
+use crate::key_reads;
 use crate::response::Body;
 use crate::response::Refusal;
 use crate::response::full_body;
@@ -251,7 +251,7 @@
         return refuse(app, &head.id, Refusal::NotConfigured);
     };
     if let Some(call) = decode_job_call(req.method(), req.uri(), req.headers()) {
-        return match identify_customer(&table, head.key.as_ref()) {
+        return match identify(app, &table, None, head.key.as_ref()).await {
             Ok(requester) => job_calls::handle(app, call, &requester).await,
             Err(refusal) => refuse(app, &head.id, refusal),
         };
@@ -259,7 +259,7 @@
     let Some(route) = table.find(&head.host, req.uri().path()).cloned() else {
         return refuse(app, &head.id, Refusal::NoRoute);
     };
-    let requester = match identify(&table, &route, head.key.as_ref()) {
+    let requester = match identify(app, &table, Some(&route), head.key.as_ref()).await {
         Ok(requester) => requester,
         Err(refusal) => return refuse(app, &head.id, refusal),
     };
@@ -283,7 +283,11 @@
 }
 
 /// Refuses a request before it is sent to any target.
-fn refuse(app: &App, id: &str, refusal: Refusal) -> Response<Body> {
+fn refuse(app: &Arc<App>, id: &str, refusal: Refusal) -> Response<Body> {
+    if matches!(refusal, Refusal::UnknownKey | Refusal::KeyUnconfirmed) {
+        key_reads::record_refusal(app, refusal);
+        return refusal.response("route");
+    }
     let (kind, ran, config) = (refusal.kind(), refusal.ran(), app.state.config_version());
     log::info!(event = "request_refused", step = "route", id, kind, ran, config; "not forwarded");
     app.metrics.count("request.refused", "none");
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -28,6 +28,8 @@
 use tokio::time::sleep;
 
 use crate::accounts::Requester;
+use crate::accounts::has_accounts;
+use crate::accounts::may_run_items;
 use crate::app::App;
 use crate::call::Call;
 use crate::call::CallOutcome;
@@ -179,6 +181,7 @@
     /// Returns what engines learn about the customer of its items.
     fn customer_header(&self) -> CustomerHeader<'_> {
         match self.submission.customer.as_str() {
+            "" if has_accounts(&self.app) => CustomerHeader::Removed,
             "" => CustomerHeader::Unchanged,
             customer => CustomerHeader::Named(customer),
         }
@@ -204,7 +207,11 @@
             && unix_ms() > self.submission.accepted_ms + route.job.retention_ms + MAX_CLOCK_SKEW_MS
     }
 
+    /// Returns the route of a request of the job; none if its items must not run.
     pub(crate) fn find_route(&self, host: &str, path: &str) -> Option<Arc<Route>> {
+        if !may_run_items(&self.app, &self.submission.customer) {
+            return None;
+        }
         self.app.state.routes.load().as_ref()?.find(host, path).cloned()
     }
 
--- a/crates/serve/src/job_calls.rs
+++ b/crates/serve/src/job_calls.rs
@@ -8,7 +8,6 @@
 use cassia_adapter::encode_results;
 use cassia_clients::StoreError;
 use cassia_clients::StoreErrorKind;
-use cassia_jobs::Job;
 use cassia_jobs::JobRecord;
 use cassia_jobs::MAX_PAGE_KB;
 use cassia_jobs::ResultRef;
@@ -111,7 +110,7 @@
     after: usize,
 ) -> AvailableResults {
     let table = app.job_log.table(partition);
-    let Some(job) = table.job(job).filter(|job| owns(requester, job)) else {
+    let Some(job) = table.job(job).filter(|job| requester.owns(&job.customer)) else {
         return AvailableResults::NoSuchJob;
     };
     let item_count = job.item_count();
@@ -135,7 +134,10 @@
     app.job_log.read_to_end(partition, read_until).await?;
     let submission = {
         let table = app.job_log.table(partition);
-        table.job(job).filter(|job| !job.ended && owns(requester, job)).map(SubmissionRef::from)
+        table
+            .job(job)
+            .filter(|job| !job.ended && requester.owns(&job.customer))
+            .map(SubmissionRef::from)
     };
     let Some(submission) = submission else {
         return Ok(Refusal::NoSuchJob.response("read a body"));
@@ -148,15 +150,6 @@
     ))
 }
 
-/// Returns whether a job is shown to whoever asks: to its own customer, or to all if
-/// the configuration has no accounts.
-fn owns(requester: &Requester, job: &Job) -> bool {
-    match requester {
-        Requester::Unidentified => true,
-        requester => requester.customer() == Some(&job.customer),
-    }
-}
-
 /// Refuses a read at once where the store is known to be out of reach: another
 /// host may answer it.
 fn check_store(app: &App) -> Result<(), StoreError> {
@@ -193,7 +186,7 @@
     app.job_log.read_to_end(partition, deadline).await?;
     let ended = {
         let table = app.job_log.table(partition);
-        table.job(job).filter(|job| owns(requester, job)).map(|job| job.ended)
+        table.job(job).filter(|job| requester.owns(&job.customer)).map(|job| job.ended)
     };
     match ended {
         None => return Ok(Refusal::NoSuchJob.response("end")),
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -22,6 +22,7 @@
 mod job_calls;
 mod job_log;
 mod job_requests;
+mod key_reads;
 mod keyed_reader;
 mod ops;
 mod order;
@@ -96,6 +97,7 @@
         tokio::spawn(hosts::check_links(Arc::clone(&app)));
     }
     tokio::spawn(config::run(Arc::clone(&app)));
+    tokio::spawn(key_reads::run(Arc::clone(&app)));
     tokio::spawn(targets::run(Arc::clone(&app)));
     tokio::spawn(rate_limits::run(Arc::clone(&app)));
     tokio::spawn(quarantine::read_reports(Arc::clone(&app)));
--- a/crates/serve/src/ops.rs
+++ b/crates/serve/src/ops.rs
@@ -21,7 +21,7 @@
 use crate::app::App;
 use crate::state::lock;
 
-/// Maximum number of targets, and of jobs of each partition, in a dump.
+/// Maximum number of targets, of accounts, and of jobs of each partition, in a dump.
 const MAX_LISTED: usize = 500;
 
 /// The response to a probe.
@@ -82,7 +82,7 @@
         .collect();
     let jobs: Vec<_> =
         (0..app.settings.store_parts).filter_map(|p| dump_partition(app, p)).collect();
-    json!({
+    let mut dump = json!({
         "process": {
             "host": shared.host, "data_centre": shared.data_centre, "boot": shared.boot,
             "stopping": shared.is_stopping(),
@@ -94,7 +94,19 @@
         "cut_off": app.relay.is_cut_off(),
         "targets": targets_json,
         "jobs": jobs,
-    })
+    });
+    if let Some(accounts) = dump_accounts(app) {
+        dump["accounts"] = accounts;
+    }
+    dump
+}
+
+/// Dumps the number of keys of each account; `None` if there are no accounts.
+fn dump_accounts(app: &App) -> Option<Value> {
+    let routes = app.state.routes.load();
+    let accounts = routes.as_ref()?.accounts.as_ref()?;
+    let listed = accounts.iter().take(MAX_LISTED);
+    Some(listed.map(|a| json!({"customer": a.customer, "keys": a.keys.len()})).collect())
 }
 
 /// Dumps the open jobs of a partition; `None` if it has not been read.
--- a/crates/serve/src/response.rs
+++ b/crates/serve/src/response.rs
@@ -23,6 +23,9 @@
     NoRoute,
     /// No account has the caller's key.
     UnknownKey,
+    /// This host does not know the caller's key, and can't find out whether there is such
+    /// an account; the request did not run.
+    KeyUnconfirmed,
     /// The request is invalid.
     BadRequest,
     /// The body is larger than allowed.
@@ -69,6 +72,7 @@
             Self::NoMemory
             | Self::NoTarget
             | Self::NotConfigured
+            | Self::KeyUnconfirmed
             | Self::Quarantined
             | Self::LastTarget
             | Self::RateLimited
@@ -90,6 +94,7 @@
             Self::NotConfigured => "not_configured",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
+            Self::KeyUnconfirmed => "key_unconfirmed",
             Self::BadRequest => "bad_request",
             Self::TooLarge => "too_large",
             Self::BodyTimeout => "too_slow",
@@ -116,9 +121,11 @@
 
     fn retry_after(self) -> Option<&'static str> {
         match self {
-            Self::LastTarget | Self::NotConfigured | Self::RateLimited | Self::StoreUnavailable => {
-                Some(LONG_RETRY_AFTER)
-            }
+            Self::KeyUnconfirmed
+            | Self::LastTarget
+            | Self::NotConfigured
+            | Self::RateLimited
+            | Self::StoreUnavailable => Some(LONG_RETRY_AFTER),
             Self::Quarantined => Some(QUARANTINE_RETRY_AFTER),
             Self::NoMemory | Self::NoTarget | Self::UnknownSoftware => Some(SHORT_RETRY_AFTER),
             _ => None,
--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::accounts::may_run_items;
 use crate::app::App;
 use crate::follow::Follower;
 use crate::item::JobOutput;
@@ -147,12 +148,12 @@
     let _ = owned.wait_for(|owned| !owned.contains(&partition)).await;
 }
 
-/// Aborts the runs of jobs that are no longer open, with their requests at
+/// Aborts the runs of jobs that are no longer open, or whose items must not run, with their requests at
 /// engines.
 fn abort_ended_jobs(app: &App, partition: u32, jobs: &mut HashMap<JobId, RunningJob>) {
     let table = app.job_log.table(partition);
     jobs.retain(|id, running| {
-        let open = table.job(id).is_some_and(Job::is_open);
+        let open = table.job(id).is_some_and(|job| may_run(app, job));
         if let Some(task) = running.task.as_ref().filter(|task| !open && !task.is_finished()) {
             log::info!(event = "job_over", step = "run", id = id.as_str(); "job is no longer open");
             task.abort();
@@ -177,6 +178,11 @@
     });
 }
 
+/// Returns whether a job has items to run, and may run them.
+fn may_run(app: &App, job: &Job) -> bool {
+    job.is_open() && may_run_items(app, &job.customer)
+}
+
 async fn start_jobs(
     app: &Arc<App>,
     partition: u32,
@@ -185,7 +191,7 @@
 ) {
     let open: Vec<_> = {
         let table = app.job_log.table(partition);
-        let open = table.jobs().filter(|(id, job)| job.is_open() && !jobs.contains_key(*id));
+        let open = table.jobs().filter(|(id, job)| may_run(app, job) && !jobs.contains_key(*id));
         open.map(|(id, job)| (id.clone(), job.clone())).collect()
     };
     for (id, job) in open {
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -2,7 +2,7 @@
 //!
 //! | field | written by | read by |
 //! | --- | --- | --- |
-//! | `routes`, `wanted` | the configuration controller | all |
+//! | `routes`, `config_read_at`, `wanted` | the configuration controller | all |
 //! | `targets`, `versions` | the targets controller, and requests by their outcomes | all |
 //! | `store_contact` | the targets and ownership controllers | readiness, calls about batch jobs, other controllers, connections |
 //! | `owned` | the ownership controller | the runners |
@@ -53,6 +53,8 @@
     pub(crate) boot: BootId,
     /// The configuration in force; `None` until one has been read.
     pub(crate) routes: ArcSwapOption<RouteTable>,
+    /// When the last read that showed all of the configuration began.
+    pub(crate) config_read_at: ArcSwapOption<Instant>,
     /// The wanted versions, as set by the trainers.
     pub(crate) wanted: ArcSwap<BTreeMap<ModelName, Version>>,
     /// The targets with their load.
@@ -83,6 +85,7 @@
             data_centre: settings.data_centre.clone(),
             boot: rand::random(),
             routes: ArcSwapOption::empty(),
+            config_read_at: ArcSwapOption::empty(),
             wanted: ArcSwap::default(),
             targets: ArcSwap::from_pointee(TargetSet::empty(Instant::now())),
             heartbeats: ArcSwap::default(),
--- a/crates/serve/src/submit.rs
+++ b/crates/serve/src/submit.rs
@@ -8,6 +8,7 @@
 use cassia_adapter::RequestHead;
 use cassia_adapter::decode_submission;
 use cassia_clients::StoreErrorKind;
+use cassia_ids::Offset;
 use cassia_route::Route;
 use http::Response;
 use http::StatusCode;
@@ -32,6 +33,8 @@
 enum AppendOutcome {
     /// The job is in the log.
     Appended,
+    /// The log has a job of another customer with this id.
+    Foreign,
     /// The job is not in the log, and no append of it is pending.
     NotAppended,
     /// The job may be in the log, or a pending append may add it later.
@@ -43,6 +46,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Appended => "InTheLog",
+            Self::Foreign => "Foreign",
             Self::NotAppended => "NotThere",
             Self::Unknown => "Unknown",
         }
@@ -80,13 +84,14 @@
     let started = Instant::now();
     let caller_timeout = head.timeout.unwrap_or_else(|| route.timeout());
     let until = started + RETRY_LIMIT.min(caller_timeout / 3);
-    let outcome = append_job(app, &job.id, &records, until).await;
+    let outcome = append_job(app, &job.id, requester, &records, until).await;
     let took_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
     let (id, items, step, fate) = (head.id.as_str(), job.items.len(), job.step, outcome.as_str());
     app.metrics.time("job.accept", &route.name, started.elapsed());
     log::info!(event = "job_submitted", step = "submit", id, items, trainer_step = step, fate, took_ms; "job submission handled");
     match outcome {
         AppendOutcome::Appended => json_response(StatusCode::ACCEPTED, Bytes::from_static(b"{}")),
+        AppendOutcome::Foreign => Refusal::NoSuchJob.response("submit"),
         AppendOutcome::NotAppended => Refusal::StoreUnavailable.response("submit"),
         AppendOutcome::Unknown => Refusal::OutcomeUnknown.response("submit"),
     }
@@ -95,21 +100,34 @@
 /// Appends a job unless it is in the log already. An append whose response is
 /// lost may take effect later, so the outcome is `NotAppended` only if no
 /// response was lost.
-async fn append_job(app: &App, job: &str, records: &[Bytes], until: Instant) -> AppendOutcome {
+async fn append_job(
+    app: &App,
+    job: &str,
+    requester: &Requester,
+    records: &[Bytes],
+    until: Instant,
+) -> AppendOutcome {
     let partition = app.job_log.partition_of(job);
     let mut outcome = AppendOutcome::NotAppended;
     loop {
         let deadline = (Instant::now() + CALL_TIMEOUT).min(until);
         let read = app.job_log.read_to_end(partition, deadline).await;
-        if app.job_log.table(partition).job(job).is_some() {
-            return AppendOutcome::Appended;
+        if let Some(found) = find_job(app, partition, job, requester) {
+            return found;
         }
         if read.is_ok() {
             let deadline = (Instant::now() + CALL_TIMEOUT).min(until);
             match app.job_log.append(partition, records, deadline).await {
                 Ok(offset) => {
                     log::info!(event = "job_accepted", step = "submit", id = job, partition, offset; "job appended to the log");
-                    return AppendOutcome::Appended;
+                    if is_first(app, partition, offset, job, requester) {
+                        return AppendOutcome::Appended;
+                    }
+                    // The next read shows whose job came first.
+                    outcome = AppendOutcome::Unknown;
+                    if Instant::now() < until {
+                        continue;
+                    }
                 }
                 Err(e) if e.kind == StoreErrorKind::NotDone => {}
                 Err(e) => {
@@ -124,3 +142,20 @@
         tokio::time::sleep(RETRY_DELAY).await;
     }
 }
+
+/// Returns whose job has this id, as far as the partition was read; `None` if there is
+/// none.
+fn find_job(app: &App, partition: u32, job: &str, requester: &Requester) -> Option<AppendOutcome> {
+    let table = app.job_log.table(partition);
+    let owned = requester.owns(&table.job(job)?.customer);
+    Some(if owned { AppendOutcome::Appended } else { AppendOutcome::Foreign })
+}
+
+/// Returns whether a job that was appended at an offset is known to be the first with its
+/// id: the records before it were read, and none is of such a job. Without accounts it
+/// does not matter which is first.
+fn is_first(app: &App, partition: u32, offset: Offset, job: &str, requester: &Requester) -> bool {
+    let table = app.job_log.table(partition);
+    *requester == Requester::Unidentified
+        || (table.next_offset() == offset && table.job(job).is_none())
+}
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -371,6 +371,7 @@
             started: Instant::now(),
             timeout_ms: number("deadline-ms"),
             last_event_id,
+            headers: request.headers().clone(),
         });
         if faults.crashing_bodies.iter().any(|body| body.as_bytes() == request.body()) {
             self.sleep_delay().await;
--- a/crates/standin/src/target_records.rs
+++ b/crates/standin/src/target_records.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use http::HeaderMap;
 use serde_json::Value;
 use serde_json::json;
 
@@ -19,6 +20,8 @@
     pub timeout_ms: Option<u64>,
     /// Id of the event after which the stream resumed.
     pub last_event_id: Option<u64>,
+    /// All its headers, as received.
+    pub headers: HeaderMap,
 }
 
 /// An order that an engine received, whether it accepted it or not.
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -40,6 +40,7 @@
 pub use crate::platform_env::PARTITIONS;
 pub use crate::platform_env::PlatformEnv;
 pub use crate::platform_env::ROUTE_HOST;
+pub use crate::platform_env::accounts_config;
 pub use crate::platform_env::batch_job;
 pub use crate::platform_env::platform_config;
 pub use crate::platform_steps::assert_complete;
--- a/crates/trials/src/platform_env.rs
+++ b/crates/trials/src/platform_env.rs
@@ -13,6 +13,7 @@
 use cassia_standin::RawEnd;
 use cassia_standin::RawRequest;
 use cassia_standin::RawTarget;
+use cassia_standin::RequestRun;
 use cassia_standin::StoreStandin;
 use cassia_standin::TargetSpec;
 use cassia_standin::TargetStandin;
@@ -265,6 +266,46 @@
         self.send("POST", to.listen, path, &headers, "ask").await
     }
 
+    /// Sends a caller's request with a key.
+    pub async fn request_with_key(
+        &self,
+        to: &Process,
+        path: &str,
+        id: &str,
+        key: &str,
+    ) -> PlatformResponse {
+        let token = format!("Token {key}");
+        let headers = [("attempt-id", id), ("deadline-ms", "3000"), ("authorization", &token)];
+        self.send("POST", to.listen, path, &headers, "ask").await
+    }
+
+    /// Makes a call about a batch job with a key; `POST` submits one.
+    pub async fn job_call_with_key(
+        &self,
+        method: &str,
+        to: &Process,
+        path: &str,
+        key: &str,
+        body: impl Into<Bytes>,
+    ) -> PlatformResponse {
+        let token = format!("Token {key}");
+        let headers = [("authorization", token.as_str()), ("wait-ms", "500")];
+        self.send(method, to.listen, path, &headers, body).await
+    }
+
+    /// Submits a batch job with a key.
+    pub async fn submit_job_with_key(
+        &self,
+        to: &Process,
+        id: &str,
+        job: &Value,
+        key: &str,
+    ) -> PlatformResponse {
+        let token = format!("Token {key}");
+        let headers = [("attempt-id", id), ("authorization", &token)];
+        self.send("POST", to.listen, "/job/x", &headers, job.to_string()).await
+    }
+
     /// Sends a caller's request and returns what comes of the body until there is a pause.
     pub async fn partial(&self, to: &Process, path: &str, id: &str) -> Bytes {
         self.client.send_for_part(to.listen, path, id, PARTIAL_PAUSE).await
@@ -311,6 +352,17 @@
         self.store.put("keyed.op", &format!("version/{ENGINE_MODEL}"), Some(&value));
     }
 
+    /// Returns the runs of the request with this id, over all targets.
+    #[must_use]
+    pub fn runs_of(&self, id: &str) -> Vec<RequestRun> {
+        self.targets.iter().flat_map(|t| t.runs()).filter(|run| run.id == id).collect()
+    }
+
+    /// Puts a configuration into force in which customers have these keys.
+    pub fn put_accounts(&self, version: u64, accounts: &[(&str, &[&str])]) {
+        self.store.put("keyed.op", "config", Some(&accounts_config(version, accounts)));
+    }
+
     /// Number of runs of the request with this id, over all targets.
     #[must_use]
     pub fn run_count(&self, id: &str) -> usize {
@@ -357,6 +409,20 @@
         "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000}})
 }
 
+/// Returns a configuration in which customers have these keys. The routes `score` and
+/// `extra` are public.
+#[must_use]
+pub fn accounts_config(version: u64, accounts: &[(&str, &[&str])]) -> Value {
+    let mut config = platform_config(version, true);
+    for route in config["routes"].as_array_mut().into_iter().flatten() {
+        let is_public = route["name"] == "score" || route["name"] == "extra";
+        route["public"] = json!(is_public);
+    }
+    let account = |(name, keys): &(&str, &[&str])| json!({"name": name, "api_keys": keys});
+    config["tenants"] = accounts.iter().map(account).collect();
+    config
+}
+
 /// Returns a batch job with this many items, in groups of four; each item has
 /// a reward call.
 #[must_use]
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -1,5 +1,6 @@
 //! Runs the shipped programs as processes.
 
+use std::fs::File;
 use std::io;
 use std::io::Read;
 use std::net::SocketAddr;
@@ -164,9 +165,33 @@
     ///
     /// As `start_serve`.
     pub fn start_serve_build(program: &Path, host: &str, store: SocketAddr) -> io::Result<Self> {
+        Self::start_serve_with(program, host, store, &[], None)
+    }
+
+    /// As `start_serve`, with further flags; what the process writes goes to this file.
+    ///
+    /// # Errors
+    ///
+    /// As `start_serve`, and if the file can't be written.
+    pub fn start_serve_logged(
+        host: &str,
+        store: SocketAddr,
+        flags: &[&str],
+        log: &Path,
+    ) -> io::Result<Self> {
+        Self::start_serve_with(&program_path(SERVE)?, host, store, flags, Some(log))
+    }
+
+    fn start_serve_with(
+        program: &Path,
+        host: &str,
+        store: SocketAddr,
+        more_flags: &[&str],
+        log: Option<&Path>,
+    ) -> io::Result<Self> {
         let (listen, link, ops) = (free_addr()?, free_addr()?, free_addr()?);
         let relay = free_addr()?;
-        let args: Vec<String> = vec![
+        let mut args: Vec<String> = vec![
             format!("--host={host}"),
             "--data-centre=z1".to_owned(),
             format!("--relay={relay}"),
@@ -176,10 +201,14 @@
             format!("--store={store}"),
             "--store-parts=2".to_owned(),
         ];
+        args.extend(more_flags.iter().map(|flag| (*flag).to_owned()));
         let program = program.to_owned();
         let flags = known_flags(&program, &args)?;
         let relay = flags.iter().any(|flag| flag.starts_with("--relay=")).then_some(relay);
-        let child = spawn(&program, &flags)?;
+        let child = match log {
+            None => spawn(&program, &flags)?,
+            Some(log) => spawn_logged(&program, &flags, log)?,
+        };
         Ok(Self { child, program, args, listen, link, ops, relay })
     }
 
@@ -322,6 +351,13 @@
     spawn_apart(&mut command)
 }
 
+fn spawn_logged(program: &Path, args: &[String], log: &Path) -> io::Result<Child> {
+    let stdout = File::create(log)?;
+    let stderr = stdout.try_clone()?;
+    let mut command = Command::new(program);
+    spawn_apart(command.args(args).stdin(Stdio::null()).stdout(stdout).stderr(stderr))
+}
+
 /// Starts a process while no address is being found free: until it runs the program, it
 /// holds copies of this one's sockets, also of that by which an address is found free.
 fn spawn_apart(command: &mut Command) -> io::Result<Child> {
