--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -1,5 +1,6 @@
 //! Runs the shipped programs as processes.
 
+use std::fs::File;
 use std::io;
 use std::io::Read;
 use std::net::SocketAddr;
@@ -164,7 +165,7 @@
     ///
     /// As `start_serve`.
     pub fn start_serve_with(host: &str, store: SocketAddr, flags: &[String]) -> io::Result<Self> {
-        Self::start_build_with(&program_path(SERVE)?, host, store, flags)
+        Self::start_build_with(&program_path(SERVE)?, host, store, flags, None)
     }
 
     /// As `start_serve`, with the program at this path, which may be an earlier one.
@@ -173,14 +174,29 @@
     ///
     /// As `start_serve`.
     pub fn start_serve_build(program: &Path, host: &str, store: SocketAddr) -> io::Result<Self> {
-        Self::start_build_with(program, host, store, &[])
+        Self::start_build_with(program, host, store, &[], None)
+    }
+
+    /// As `start_serve`, with further flags; what the process writes goes to this file.
+    ///
+    /// # Errors
+    ///
+    /// As `start_serve`, and if the file can't be written.
+    pub fn start_serve_logged(
+        host: &str,
+        store: SocketAddr,
+        flags: &[String],
+        log: &Path,
+    ) -> io::Result<Self> {
+        Self::start_build_with(&program_path(SERVE)?, host, store, flags, Some(log))
     }
 
     fn start_build_with(
         program: &Path,
         host: &str,
         store: SocketAddr,
-        further: &[String],
+        more_flags: &[String],
+        log: Option<&Path>,
     ) -> io::Result<Self> {
         let (listen, link, ops) = (free_addr()?, free_addr()?, free_addr()?);
         let relay = free_addr()?;
@@ -194,11 +210,14 @@
             format!("--store={store}"),
             "--store-parts=2".to_owned(),
         ];
-        args.extend_from_slice(further);
+        args.extend_from_slice(more_flags);
         let program = program.to_owned();
         let flags = known_flags(&program, &args)?;
         let relay = flags.iter().any(|flag| flag.starts_with("--relay=")).then_some(relay);
-        let child = spawn(&program, &flags)?;
+        let child = match log {
+            None => spawn(&program, &flags)?,
+            Some(log) => spawn_logged(&program, &flags, log)?,
+        };
         Ok(Self { child, program, args, listen, link, ops, relay })
     }
 
@@ -341,6 +360,13 @@
     spawn_apart(&mut command)
 }
 
+fn spawn_logged(program: &Path, args: &[String], log: &Path) -> io::Result<Child> {
+    let stdout = File::create(log)?;
+    let stderr = stdout.try_clone()?;
+    let mut command = Command::new(program);
+    spawn_apart(command.args(args).stdin(Stdio::null()).stdout(stdout).stderr(stderr))
+}
+
 /// Starts a process while no address is being found free: until it runs the program, it
 /// holds copies of this one's sockets, also of that by which an address is found free.
 fn spawn_apart(command: &mut Command) -> io::Result<Child> {
