Scaling: the decision on the number of engines, without I/O and clock

Cause: the number of engines of a service is to follow the demand of callers and of training steps, within limits, at a low price and without oscillation. Ruled out: following the utilisation alone, which sees a step only after its items wait; spot engines without on-demand ones beside them, since all of a data centre may be reclaimed at once.

--- /dev/null
+++ b/crates/scaling/src/history.rs
@@ -0,0 +1,37 @@
+//! The maximum of the demand over the last time.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Minimum time between two entries, which bounds the memory.
+const RESOLUTION: Duration = Duration::from_millis(500);
+
+/// Maxima of a value over the last time; each entry is greater than all later
+/// ones.
+#[derive(Debug, Default)]
+pub(crate) struct MaxHistory {
+    entries: VecDeque<(Instant, u32)>,
+}
+
+impl MaxHistory {
+    /// Adds a value and removes those that are older than `retention`.
+    pub(crate) fn record(&mut self, value: u32, retention: Duration, now: Instant) {
+        while self.entries.back().is_some_and(|(_, last)| *last <= value) {
+            self.entries.pop_back();
+        }
+        // A lower value that follows at once is skipped; the greater one stands for
+        // it, and the next value comes soon.
+        if self.entries.back().is_none_or(|(at, _)| now >= *at + RESOLUTION) {
+            self.entries.push_back((now, value));
+        }
+        while self.entries.front().is_some_and(|(at, _)| *at + retention < now) {
+            self.entries.pop_front();
+        }
+    }
+
+    /// Returns the maximum of the retained values.
+    pub(crate) fn max(&self) -> u32 {
+        self.entries.front().map_or(0, |(_, value)| *value)
+    }
+}
