Serve: the duty that orders engines, and the hosts' reports of their work

Cause: the holder of the lease needs to know the open jobs of all partitions. Ruled out: reading the partitions at the holder, whose cost is that of all submissions and results; load reports, which reach a host only with its own responses. Change: each host reports its requests and jobs at scaled services in the topic keyed.demand; scaling.rs sums them, records each order in the topic scaling, reads it back and calls. Hosts without the duty, and configurations without scaling, report nothing. The pool's state is in a file of its own.

--- a/crates/scaling/src/autoscaler.rs
+++ b/crates/scaling/src/autoscaler.rs
@@ -22,6 +22,9 @@
 use crate::plan::Plan;
 use crate::plan::Pool;
 use crate::plan::PoolInfo;
+use crate::pool::Ordered;
+use crate::pool::PoolState;
+use crate::pool::to_u32;
 
 /// Part of the slots that the demand fills after growth.
 const TARGET_UTILISATION: f64 = 0.8;
@@ -45,8 +48,6 @@
 /// First and maximum delay after a refusal.
 const FIRST_BACKOFF: Duration = Duration::from_secs(1);
 const MAX_BACKOFF: Duration = Duration::from_secs(16);
-/// How long other pools are preferred after engines were reclaimed.
-const RECLAIM_AVOIDANCE: Duration = Duration::from_secs(16);
 /// How long after a loss one more order a minute is available.
 const REPLACEMENT_TIME: Duration = Duration::from_secs(30);
 /// Ordered engines that don't serve after twice the boot time and this are not
@@ -85,6 +86,21 @@
     Repeated,
 }
 
+impl Reason {
+    /// Returns the name that is logged.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Demand => "demand",
+            Self::Loss => "loss",
+            Self::Minimum => "minimum",
+            Self::LowDemand => "low_demand",
+            Self::CheaperMix => "cheaper_mix",
+            Self::Repeated => "repeated",
+        }
+    }
+}
+
 /// Figures of the last decision.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ScalingState {
@@ -100,26 +116,6 @@
     pub reason: Reason,
 }
 
-/// The last order that was accepted for a pool.
-#[derive(Clone, Copy, Debug)]
-struct Ordered {
-    count: u32,
-    /// Until when engines that don't serve yet are expected.
-    expected_until: Instant,
-}
-
-#[derive(Debug, Default)]
-struct PoolState {
-    serving: u32,
-    leaving: u32,
-    capacity: f64,
-    busy: u32,
-    ordered: Option<Ordered>,
-    retry_at: Option<Instant>,
-    backoff: Duration,
-    avoided_until: Option<Instant>,
-}
-
 /// Decides on the engines of one service.
 ///
 /// Orders to grow are made at once, orders to shrink only when the demand has
@@ -142,46 +138,6 @@
     reason: Reason,
 }
 
-impl PoolState {
-    /// Number of engines that the platform was told to run, or that it runs.
-    fn committed(&self) -> u32 {
-        self.ordered.map_or(self.serving, |ordered| ordered.count)
-    }
-
-    fn is_expected(&self, now: Instant) -> bool {
-        self.ordered.is_some_and(|ordered| now < ordered.expected_until)
-    }
-
-    fn missing(&self, now: Instant) -> u32 {
-        let missing = self.committed().saturating_sub(self.serving);
-        if self.is_expected(now) { 0 } else { missing }
-    }
-
-    /// Updates the state; returns whether engines were lost.
-    fn observe(&mut self, engines: &[&EngineState], slots: u32, now: Instant) -> bool {
-        let open = || engines.iter().filter(|engine| !engine.leaving);
-        let slots = slots.max(1);
-        let serving = to_u32(open().count());
-        let leaving = to_u32(engines.len()) - serving;
-        self.capacity = open().map(|engine| f64::from(engine.slots) * engine.speed).sum::<f64>()
-            / f64::from(slots);
-        self.busy = open().map(|engine| engine.load).sum::<u32>().div_ceil(slots);
-        let was_lost = serving < self.serving && serving < self.committed();
-        let is_reclaim = was_lost && leaving > self.leaving;
-        if is_reclaim {
-            // The engines that were ordered and don't serve yet go with them.
-            self.ordered = None;
-            self.avoided_until = Some(now + RECLAIM_AVOIDANCE);
-        }
-        if self.ordered.is_some_and(|ordered| serving > ordered.count) && !self.is_expected(now) {
-            // The platform didn't reduce them; what it runs is what counts.
-            self.ordered = None;
-        }
-        (self.serving, self.leaving) = (serving, leaving);
-        was_lost
-    }
-}
-
 impl Autoscaler {
     /// Creates an autoscaler that knows of no engines yet.
     #[must_use]
@@ -239,12 +195,12 @@
                 engine.spot == pool.spot && engine.data_centre == pool.data_centre
             };
             let engines: Vec<_> = seen.engines.iter().filter(is_in).collect();
-            if state.observe(&engines, self.slots, now) {
+            if state.observe(pool.spot, &engines, self.slots, now) {
                 self.lost_at = Some(now);
             }
         }
         for submission in &seen.submissions {
-            self.submissions.record(submission);
+            self.submissions.record(submission, now);
         }
         self.demand = demand(seen, &self.submissions, self.boot_time() + FIRST_BACKOFF, now);
         let hold = self.hold_time(now);
@@ -470,10 +426,6 @@
     Pool { data_centre: order.data_centre.clone(), spot: order.spot }
 }
 
-fn to_u32(count: usize) -> u32 {
-    u32::try_from(count).unwrap_or(u32::MAX)
-}
-
 /// Rounds up; a result that is above an integer by an error of the arithmetic is
 /// that integer.
 #[expect(
--- a/crates/scaling/src/demand.rs
+++ b/crates/scaling/src/demand.rs
@@ -7,9 +7,12 @@
 
 use cassia_ids::DataCentre;
 use cassia_ids::ModelName;
+use smol_str::SmolStr;
 
 /// Number of a model's last submissions that are kept.
 const KEPT_SUBMISSIONS: usize = 9;
+/// How long jobs are known by their ids, for those that are reported again.
+const KNOWN_JOB_RETENTION: Duration = Duration::from_mins(10);
 /// A model that submits nothing for this many periods is no longer expected to.
 const MAX_MISSED_PERIODS: u32 = 3;
 /// The next job is expected this part of the period early, since steps differ in
@@ -51,6 +54,8 @@
 /// A batch job that was submitted.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Submission {
+    /// Its id; a job that is known already is ignored.
+    pub id: SmolStr,
     /// Its model.
     pub model: ModelName,
     /// When it was submitted.
@@ -70,7 +75,7 @@
     pub waiting: u32,
     /// The jobs with items left.
     pub jobs: Vec<OpenJob>,
-    /// The jobs that were submitted since the last observation.
+    /// The jobs that were submitted lately.
     pub submissions: Vec<Submission>,
 }
 
@@ -87,12 +92,19 @@
 #[derive(Debug, Default)]
 pub(crate) struct Submissions {
     models: BTreeMap<ModelName, VecDeque<(Instant, u32)>>,
+    /// The jobs that were recorded, with the time of their submission.
+    known: BTreeMap<SmolStr, Instant>,
 }
 
 impl Submissions {
-    pub(crate) fn record(&mut self, submission: &Submission) {
+    pub(crate) fn record(&mut self, submission: &Submission, now: Instant) {
+        self.known.retain(|_, at| now < *at + KNOWN_JOB_RETENTION);
+        if submission.at + KNOWN_JOB_RETENTION <= now
+            || self.known.insert(submission.id.clone(), submission.at).is_some()
+        {
+            return;
+        }
         let known = self.models.entry(submission.model.clone()).or_default();
-        // The items of one step may come as several jobs at once.
         known.push_back((submission.at, submission.items));
         known.make_contiguous().sort_unstable_by_key(|(at, _)| *at);
         if known.len() > KEPT_SUBMISSIONS {
--- a/crates/scaling/src/lib.rs
+++ b/crates/scaling/src/lib.rs
@@ -20,6 +20,8 @@
 mod history;
 mod ledger;
 mod plan;
+mod pool;
+mod report;
 
 pub use crate::autoscaler::Autoscaler;
 pub use crate::autoscaler::Reason;
@@ -33,3 +35,7 @@
 pub use crate::ledger::ScalingLedger;
 pub use crate::ledger::ScalingRecord;
 pub use crate::plan::Pool;
+pub use crate::report::DemandTable;
+pub use crate::report::HostDemand;
+pub use crate::report::JobDemand;
+pub use crate::report::ServiceDemand;
--- a/crates/scaling/tests/sim/mod.rs
+++ b/crates/scaling/tests/sim/mod.rs
@@ -210,8 +210,9 @@
             let Some(since) = self.now_ms.checked_sub(trainer.start_ms) else { continue };
             let at_ms = since % trainer.period_ms;
             if at_ms < STEP_MS {
+                let id = format!("{}-{}", trainer.model, self.now_ms).into();
                 let (model, at) = (trainer.model.into(), self.now());
-                seen.submissions.push(Submission { model, at, items: trainer.items });
+                seen.submissions.push(Submission { id, model, at, items: trainer.items });
             }
             if at_ms < trainer.work_ms {
                 items += trainer.items;
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -11,6 +11,7 @@
 use crate::body;
 use crate::clock::BootClock;
 use crate::clock::Clock;
+use crate::demand::Demand;
 use crate::duties::DutyContext;
 use crate::flags::ServeSettings;
 use crate::hosts::ReadPosition;
@@ -33,6 +34,8 @@
     /// How far the other hosts' announcements are read.
     pub(crate) hosts_position: Mutex<ReadPosition>,
     pub(crate) clock: Box<dyn Clock>,
+    /// This host's work at services whose number of engines follows the demand.
+    pub(crate) demand: Demand,
     /// The duties of one host at a time; `None` if the platform has no API.
     pub(crate) duties: Option<Arc<DutyContext>>,
     pub(crate) job_log: JobLog,
@@ -74,6 +77,7 @@
             hosts_position: Mutex::default(),
             clock: Box::new(clock),
             duties,
+            demand: Demand::default(),
             metrics: Metrics::to_page(&page),
             page,
             settings: settings.clone(),
--- a/crates/serve/src/duties.rs
+++ b/crates/serve/src/duties.rs
@@ -35,6 +35,7 @@
 use crate::lease_stream::LeaseStream;
 use crate::lease_stream::MAX_CONTENDERS;
 use crate::lease_stream::ROUND_INTERVAL;
+use crate::scaling::ScalingDuty;
 use crate::state::lock;
 
 /// The lease for the calls of the platform's API.
@@ -222,7 +223,10 @@
 /// Starts the duties of the settings; returns `None` if there are none.
 pub(crate) fn start(app: &Arc<App>) -> Option<JoinHandle<()>> {
     let context = Arc::clone(app.duties.as_ref()?);
-    let duties: Vec<Box<dyn Duty>> = Vec::new();
+    let mut duties: Vec<Box<dyn Duty>> = Vec::new();
+    if app.settings.duties.as_ref().is_some_and(|duties| duties.scales) {
+        duties.push(Box::new(ScalingDuty::new(Arc::clone(&context))));
+    }
     (!duties.is_empty()).then(|| tokio::spawn(run(Arc::clone(app), context, duties)))
 }
 
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -9,7 +9,7 @@
 mod call_rate;
 mod clock;
 mod config;
-#[expect(dead_code, reason = "the duties follow in the next changes")]
+mod demand;
 mod duties;
 mod exposure;
 mod flags;
@@ -40,6 +40,7 @@
 mod response;
 mod resume;
 mod runner;
+mod scaling;
 mod slot;
 mod state;
 mod store_contact;
@@ -109,6 +110,9 @@
     let runners = TaskTracker::new();
     let ownership = runners.spawn(ownership::run(Arc::clone(&app)));
     let weights = tokio::spawn(weights::run(Arc::clone(&app)));
+    if settings.duties.as_ref().is_some_and(|duties| duties.scales) {
+        tokio::spawn(demand::run(Arc::clone(&app)));
+    }
     let duties = duties::start(&app);
     ingress::wait_for_stop_signal(&app).await?;
     let deadline = Instant::now() + settings.stop_limit();
--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -193,6 +193,9 @@
         match app.job_log.submission(partition, (&job).into(), deadline).await {
             Ok(submission) => {
                 log_job_started(app, &submission, &job);
+                if let Some(table) = app.state.routes.load().as_deref() {
+                    app.demand.record_job(table, partition, &submission);
+                }
                 let progress = app.job_log.progress(partition, &job, deadline).await;
                 let (app, tx) = (Arc::clone(app), tx.clone());
                 let run = JobRun::new(app, partition, submission, &job, progress, tx);
--- a/crates/serve/src/slot.rs
+++ b/crates/serve/src/slot.rs
@@ -78,6 +78,9 @@
 
 impl Slot {
     fn new(app: Arc<App>, engine: InFlight) -> Self {
+        if let TargetKind::Service { name } = &engine.target().info.kind {
+            app.demand.begin_item(name);
+        }
         Self { app, engine: Some(engine) }
     }
 }
@@ -85,7 +88,11 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         // The slot must be free before the waiting items are notified.
-        self.engine = None;
+        if let Some(engine) = self.engine.take()
+            && let TargetKind::Service { name } = &engine.target().info.kind
+        {
+            self.app.demand.end_item(name);
+        }
         self.app.state.slot_freed.notify_waiters();
     }
 }
