--- a/crates/trials/src/platform_env.rs
+++ b/crates/trials/src/platform_env.rs
@@ -46,6 +46,8 @@
     pub store: Arc<StoreStandin>,
     /// The targets.
     pub targets: Vec<Arc<TargetStandin>>,
+    /// Further flags of the processes.
+    pub flags: Vec<String>,
     heartbeats: Vec<JoinHandle<()>>,
     client: PlatformClient,
 }
@@ -68,7 +70,8 @@
         let store = Arc::new(StoreStandin::start(PARTITIONS).await?);
         store.put("keyed.op", "config", Some(&platform_config(1, true)));
         let client = PlatformClient::new(Connections::PerRequest);
-        Ok(Self { store, targets: Vec::new(), heartbeats: Vec::new(), client })
+        let (targets, flags, heartbeats) = (Vec::new(), Vec::new(), Vec::new());
+        Ok(Self { store, targets, flags, heartbeats, client })
     }
 
     /// Starts engines and instances of a service.
@@ -216,7 +219,7 @@
     ///
     /// Fails if the process can't be started.
     pub fn spawn_process(&self, host: &str) -> io::Result<Process> {
-        Process::start_serve(host, self.store.addr())
+        Process::start_serve_with(host, self.store.addr(), &self.flags)
     }
 
     /// Starts a process that reaches the store at this address, and waits until
@@ -230,7 +233,7 @@
         host: &str,
         store: SocketAddr,
     ) -> io::Result<Process> {
-        let mut process = Process::start_serve(host, store)?;
+        let mut process = Process::start_serve_with(host, store, &self.flags)?;
         let ready = || async { self.is_ready(&process).await };
         if eventually(ready).await {
             return Ok(process);
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -158,15 +158,33 @@
         Self::start_serve_build(&program_path(SERVE)?, host, store)
     }
 
+    /// As `start_serve`, with further flags.
+    ///
+    /// # Errors
+    ///
+    /// As `start_serve`.
+    pub fn start_serve_with(host: &str, store: SocketAddr, flags: &[String]) -> io::Result<Self> {
+        Self::start_build_with(&program_path(SERVE)?, host, store, flags)
+    }
+
     /// As `start_serve`, with the program at this path, which may be an earlier one.
     ///
     /// # Errors
     ///
     /// As `start_serve`.
     pub fn start_serve_build(program: &Path, host: &str, store: SocketAddr) -> io::Result<Self> {
+        Self::start_build_with(program, host, store, &[])
+    }
+
+    fn start_build_with(
+        program: &Path,
+        host: &str,
+        store: SocketAddr,
+        further: &[String],
+    ) -> io::Result<Self> {
         let (listen, link, ops) = (free_addr()?, free_addr()?, free_addr()?);
         let relay = free_addr()?;
-        let args: Vec<String> = vec![
+        let mut args: Vec<String> = vec![
             format!("--host={host}"),
             "--data-centre=z1".to_owned(),
             format!("--relay={relay}"),
@@ -176,6 +194,7 @@
             format!("--store={store}"),
             "--store-parts=2".to_owned(),
         ];
+        args.extend_from_slice(further);
         let program = program.to_owned();
         let flags = known_flags(&program, &args)?;
         let relay = flags.iter().any(|flag| flag.starts_with("--relay=")).then_some(relay);
