Scaling: a rise no longer chases its own orders; engines stay between far steps

Cause: with the limit of orders removed as a check of the tests, the simulation ordered 21 on-demand and 27 spot engines for 48 slots: the extra growth was computed anew after each order of the same rise. A new test then showed 5 engines removed and ordered again within 3 s: as long as no period was known, the maximum of the demand reached back for one boot time only. Ruled out: a smaller factor, which only slows the chase. Change: the factor is set when a rise begins. Spot engines are removed from the data centre that has most, one at a time.

--- a/crates/scaling/src/autoscaler.rs
+++ b/crates/scaling/src/autoscaler.rs
@@ -38,7 +38,8 @@
 const MAX_ORDERS: usize = 4;
 const MAX_GROWTH_ORDERS: usize = MAX_ORDERS - 1;
 const MAX_REDUCTIONS: usize = MAX_ORDERS - 2;
-/// Additional growth for each order in the last minute, as a part of the need:
+/// Additional growth for each order that a data centre had in the last minute, as a
+/// part of the need:
 /// demand that rises in steps would use up the orders of the minute.
 const GROWTH_PER_ORDER: f64 = 0.25;
 /// How long the engines are known before there may be fewer of them.
@@ -126,12 +127,15 @@
     pools: BTreeMap<Pool, PoolState>,
     submissions: Submissions,
     demand: Demand,
-    held: MaxHistory,
-    held_callers: MaxHistory,
+    slots_history: MaxHistory,
+    callers_history: MaxHistory,
+    /// Maximum demand over the time for which engines are kept.
+    held: Demand,
     slots: u32,
     first_seen: Option<Instant>,
     lost_at: Option<Instant>,
-    growing: bool,
+    /// Additional growth, from the first order of a rise until the demand is covered.
+    growth_factor: Option<f64>,
     /// When orders were accepted, by data centre.
     order_times: BTreeMap<DataCentre, VecDeque<Instant>>,
     pending: Option<CapacityOrder>,
@@ -147,12 +151,13 @@
             pools: BTreeMap::new(),
             submissions: Submissions::default(),
             demand: Demand::default(),
-            held: MaxHistory::default(),
-            held_callers: MaxHistory::default(),
+            slots_history: MaxHistory::default(),
+            callers_history: MaxHistory::default(),
+            held: Demand::default(),
             slots: 1,
             first_seen: None,
             lost_at: None,
-            growing: false,
+            growth_factor: None,
             order_times: BTreeMap::new(),
             pending: None,
             reason: Reason::default(),
@@ -204,8 +209,12 @@
         }
         self.demand = demand(seen, &self.submissions, self.boot_time() + FIRST_BACKOFF, now);
         let hold = self.hold_time(now);
-        self.held.record(self.demand.slots, hold, now);
-        self.held_callers.record(self.demand.callers, hold, now);
+        self.slots_history.record(self.demand.slots, now);
+        self.callers_history.record(self.demand.callers, now);
+        self.held = Demand {
+            slots: self.slots_history.max(hold, now),
+            callers: self.callers_history.max(hold, now),
+        };
         for times in self.order_times.values_mut() {
             times.retain(|at| now < *at + ORDER_WINDOW);
         }
@@ -250,7 +259,7 @@
         let capacity: f64 = self.pools.values().map(|state| state.capacity).sum();
         ScalingState {
             demand: self.demand.slots,
-            held_demand: self.held.max(),
+            held_demand: self.held.slots,
             supply: ceil(capacity * f64::from(self.slots)),
             need: self.need(TARGET_UTILISATION, 1.0).engines,
             reason: self.reason,
@@ -275,8 +284,8 @@
     fn need(&self, utilisation: f64, factor: f64) -> Need {
         let slots = f64::from(self.slots) * utilisation;
         let most = self.policy.limits.max_count.saturating_mul(to_u32(self.pools.len()));
-        let engines = ceil(f64::from(self.held.max()) / slots * factor).min(most);
-        let callers = ceil(f64::from(self.held_callers.max()) / slots);
+        let engines = ceil(f64::from(self.held.slots) / slots * factor).min(most);
+        let callers = ceil(f64::from(self.held.callers) / slots);
         // All spot engines may go within a short time.
         Need { engines, on_demand: engines.div_ceil(2).max(callers.min(engines)) }
     }
@@ -309,25 +318,33 @@
         self.pools.iter().map(|(pool, state)| (pool.clone(), state.committed())).collect()
     }
 
+    /// Returns the factor by which a rise exceeds the need, since the orders of the
+    /// last minute did not cover it.
+    fn growth_factor(&self) -> f64 {
+        let orders = self.order_times.values().map(VecDeque::len).sum::<usize>();
+        let data_centres = self.pools.len().div_ceil(2).max(1);
+        1.0 + GROWTH_PER_ORDER * f64::from(to_u32(orders / data_centres))
+    }
+
     /// Returns the order that adds most engines, if there are too few.
     fn growth(&mut self, now: Instant) -> Option<(CapacityOrder, Reason)> {
         let is_replacing = self.is_replacing(now);
         let max_orders = if is_replacing { MAX_ORDERS } else { MAX_GROWTH_ORDERS };
         let infos = self.pool_infos(max_orders, now);
-        let orders: usize = self.order_times.values().map(VecDeque::len).sum();
-        let centres = self.pools.len().div_ceil(2).max(1);
-        let factor = 1.0 + GROWTH_PER_ORDER * f64::from(to_u32(orders / centres));
+        let factor = self.growth_factor.unwrap_or_else(|| self.growth_factor());
         let (trigger, target) =
             (self.need(MAX_UTILISATION, 1.0), self.need(TARGET_UTILISATION, factor));
         let plan = Plan { limits: &self.policy.limits, pools: &infos };
         let counts = self.committed();
         let is_below_min = plan.below_min(&counts).is_some();
-        self.growing = !plan.covers(&counts, if self.growing { target } else { trigger });
-        if !self.growing && !is_below_min {
+        let is_growing = self.growth_factor.is_some();
+        let is_growing = !plan.covers(&counts, if is_growing { target } else { trigger });
+        self.growth_factor = is_growing.then_some(factor);
+        if !is_growing && !is_below_min {
             return None;
         }
         let mut grown = counts.clone();
-        plan.grow(&mut grown, if self.growing { target } else { Need::default() });
+        plan.grow(&mut grown, if is_growing { target } else { Need::default() });
         let reason = match (is_below_min, is_replacing) {
             (true, _) => Reason::Minimum,
             (false, true) => Reason::Loss,
--- a/crates/scaling/src/demand.rs
+++ b/crates/scaling/src/demand.rs
@@ -15,6 +15,8 @@
 const KNOWN_JOB_RETENTION: Duration = Duration::from_mins(10);
 /// A model that submits nothing for this many periods is no longer expected to.
 const MAX_MISSED_PERIODS: u32 = 3;
+/// Period of a model that has submitted one job.
+const ASSUMED_PERIOD: Duration = Duration::from_mins(1);
 /// The next job is expected this part of the period early, since steps differ in
 /// length.
 const EARLY_PART: f64 = 0.2;
@@ -122,11 +124,12 @@
         self.models.is_empty()
     }
 
-    /// Returns the longest period of a model that still submits jobs.
+    /// Returns the longest period of a model that still submits jobs; that of a model
+    /// with a single job is assumed.
     pub(crate) fn longest_period(&self, now: Instant) -> Option<Duration> {
         let periods = self.models.values().filter_map(|known| {
             let (last, _) = known.back()?;
-            let longest = gaps(known).max()?;
+            let longest = gaps(known).max().unwrap_or(ASSUMED_PERIOD);
             (now < *last + longest * MAX_MISSED_PERIODS).then_some(longest)
         });
         periods.max()
--- a/crates/scaling/src/plan.rs
+++ b/crates/scaling/src/plan.rs
@@ -1,6 +1,6 @@
 //! Which kinds of engines in which data centres cover a need.
 
-use std::cmp::Reverse;
+use std::cmp::Ordering::Equal;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -186,16 +186,20 @@
         pools.min_by(order).cloned()
     }
 
-    /// Removes engines, the most expensive first, as long as the rest covers the
+    /// Removes engines, on-demand ones and the most expensive first, as long as the rest covers the
     /// need and the work that runs now.
     pub(crate) fn shrink(&self, counts: &mut Counts, need: Need) {
-        let mut pools: Vec<_> = counts.keys().cloned().collect();
-        let price_order = |a: &Pool, b: &Pool| self.price(b).total_cmp(&self.price(a));
-        pools.sort_by(|a, b| price_order(a, b).then_with(|| Reverse(a).cmp(&Reverse(b))));
-        for pool in pools {
-            while self.can_shrink(&pool, counts, need) {
-                counts.entry(pool.clone()).and_modify(|count| *count -= 1);
-            }
+        loop {
+            let pools = counts.iter().filter(|(pool, _)| self.can_shrink(pool, counts, need));
+            // Of the spot engines, those of the data centre that has most go first,
+            // since the loss of that one must be made up for.
+            let next = pools.max_by(|(a, a_count), (b, b_count)| {
+                let spot_counts = if a.spot && b.spot { a_count.cmp(b_count) } else { Equal };
+                let prices = self.price(a).total_cmp(&self.price(b));
+                b.spot.cmp(&a.spot).then(spot_counts).then(prices)
+            });
+            let Some(pool) = next.map(|(pool, _)| pool.clone()) else { return };
+            counts.entry(pool).and_modify(|count| *count -= 1);
         }
     }
 
