Usage: old windows are removed at contenders, too; a ledger survives a wrong wall clock

Cause: only the holder removed old windows, so that the memory of the second contender grew; and what a ledger had removed while a wall clock was ahead could be decided a second time after the correction. Change: each read removes; windows are judged by the latest time stated, and after a correction of more than 1 s the topic is read again by a new ledger. Reads take 64 KB.

--- a/crates/serve/src/usage.rs
+++ b/crates/serve/src/usage.rs
@@ -44,8 +44,9 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Timeout of a read, and of an append of a decision.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Limit of one read, in kilobytes.
-const READ_MAX_KB: u32 = 256;
+/// Limit of one read, in kilobytes. A new contender reads all records that the store
+/// keeps, and decoding a larger read would hold up requests.
+const READ_MAX_KB: u32 = 64;
 /// Maximum number of decisions and reports of one turn.
 const MAX_ACTIONS: usize = 16;
 
@@ -167,6 +168,10 @@
     /// Reads the topic to its end.
     async fn read(&mut self, app: &App) -> Result<(), StoreError> {
         let began_ms = self.usage.now_ms(app.clock.as_ref());
+        if self.ledger.is_ahead(began_ms) {
+            log::warn!(event = "usage_read_again", step = "usage"; "the wall clock was wrong; reading the counts again");
+            (self.ledger, self.next) = (UsageLedger::new(self.usage.window_ms), 0);
+        }
         loop {
             let deadline = Instant::now() + CALL_TIMEOUT;
             let read =
--- a/crates/usage/src/ledger.rs
+++ b/crates/usage/src/ledger.rs
@@ -26,6 +26,9 @@
 /// Age at which a window is forgotten.
 const MAX_AGE_MS: u64 = 300_000;
 
+/// Correction of true time up to which the ledger stays valid.
+const MAX_CORRECTION_MS: u64 = 1_000;
+
 /// Requests by customer.
 type Counts = BTreeMap<CustomerId, u64>;
 
@@ -81,8 +84,8 @@
     /// The oldest window that may be decided: the first one that this process has
     /// seen, in the log or by its clock.
     first: Option<u64>,
-    /// Windows before this one are forgotten.
-    kept_from: u64,
+    /// The latest time that was stated.
+    latest: u64,
     /// When the last read began that reached the end of the log.
     read_at: Option<u64>,
     /// Nothing is decided before this time.
@@ -131,7 +134,7 @@
             window_ms: window_ms.max(1),
             windows: BTreeMap::new(),
             first: None,
-            kept_from: 0,
+            latest: 0,
             read_at: None,
             settled_at: 0,
         }
@@ -142,7 +145,7 @@
         let (UsageRecord::Counts { window, .. }
         | UsageRecord::Decision { window, .. }
         | UsageRecord::Reported { window }) = record;
-        if *window < self.kept_from {
+        if *window < self.first_kept() {
             return Applied::AsExpected;
         }
         self.first = Some(self.first.map_or(*window, |first| first.min(*window)));
@@ -167,6 +170,7 @@
 
     /// Records that a read that began at this time reached the end of the log.
     pub fn record_read(&mut self, began: u64) {
+        self.remove_old(began);
         let began_late = |last: u64| began.saturating_sub(last) > MAX_READ_GAP_MS;
         if self.read_at.is_none_or(began_late) {
             self.settled_at = began + SETTLE_MS;
@@ -176,6 +180,14 @@
         self.first = Some(self.first.map_or(current, |first| first.min(current)));
     }
 
+    /// Returns whether true time was stated to be later than now, because a wall clock was
+    /// wrong. What the ledger has forgotten may matter again: the log must be read again by
+    /// a new ledger.
+    #[must_use]
+    pub fn is_ahead(&self, now: u64) -> bool {
+        self.latest > now + MAX_CORRECTION_MS
+    }
+
     /// Records that the platform refuses a report for good; this process no longer
     /// sends it.
     pub fn record_refused(&mut self, window: u64) {
@@ -201,7 +213,7 @@
         if now < self.settled_at {
             return UsageAction::Wait;
         }
-        let from = first.max(self.first_decidable(now));
+        let from = first.max(self.first_decidable());
         // Windows that end late enough before the last read.
         let until = read_at.min(now).saturating_sub(DECIDE_AFTER_MS) / self.window_ms;
         let is_open = |window: &u64| {
@@ -226,18 +238,23 @@
         (window + 1) * self.window_ms
     }
 
+    /// Returns the oldest window that is not forgotten.
+    fn first_kept(&self) -> u64 {
+        self.latest.saturating_sub(MAX_AGE_MS) / self.window_ms
+    }
+
     /// Returns the oldest window that is young enough to be decided.
-    fn first_decidable(&self, now: u64) -> u64 {
+    fn first_decidable(&self) -> u64 {
         // The first window that ends at or after the oldest end.
-        let oldest_end = now.saturating_sub(MAX_DECIDE_AGE_MS);
+        let oldest_end = self.latest.saturating_sub(MAX_DECIDE_AGE_MS);
         oldest_end.div_ceil(self.window_ms).saturating_sub(1)
     }
 
     /// Removes what is no longer needed.
     fn remove_old(&mut self, now: u64) {
-        self.kept_from = self.kept_from.max(now.saturating_sub(MAX_AGE_MS) / self.window_ms);
-        self.windows = self.windows.split_off(&self.kept_from);
-        let counted_from = self.first_decidable(now);
+        self.latest = self.latest.max(now);
+        self.windows = self.windows.split_off(&self.first_kept());
+        let counted_from = self.first_decidable();
         for window in self.windows.range_mut(..counted_from).map(|(_, window)| window) {
             window.by_host = BTreeMap::new();
         }
--- a/crates/usage/tests/ledger.rs
+++ b/crates/usage/tests/ledger.rs
@@ -124,6 +124,29 @@
     assert_eq!(decided(ledger.next(next_end + 60_001)), Some((FIRST + 2, 0)));
 }
 
+/// Guards against memory that grows at a contender that is never the holder.
+#[test]
+fn reads_alone_remove_old_windows() {
+    let mut ledger = UsageLedger::new(WINDOW_MS);
+    ledger.apply(&decision(FIRST, 4));
+    assert_eq!(ledger.unreported(), [FIRST]);
+    ledger.record_read(START + 310_000);
+    assert!(ledger.unreported().is_empty());
+}
+
+/// Guards against a second decision of a window that the ledger has forgotten because a
+/// wall clock was ahead for a while.
+#[test]
+fn a_ledger_whose_time_was_ahead_decides_nothing_and_must_be_read_again() {
+    let mut ledger = UsageLedger::new(WINDOW_MS);
+    ledger.apply(&decision(FIRST, 4));
+    ledger.record_read(START + 600_000);
+    assert!(!ledger.is_ahead(START + 600_000));
+    read(&mut ledger, START, START + 20_000);
+    assert!(ledger.is_ahead(START + 20_000));
+    assert_eq!(ledger.next(START + 20_000), UsageAction::Wait);
+}
+
 /// Guards against windows that nobody reports because no request began in them.
 #[test]
 fn windows_without_requests_are_decided_too() {
