--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -11,6 +11,7 @@
 use crate::body;
 use crate::clock::BootClock;
 use crate::clock::Clock;
+use crate::demand::Demand;
 use crate::duties::DutyContext;
 use crate::flags::ServeSettings;
 use crate::hosts::ReadPosition;
@@ -35,6 +36,8 @@
     /// How far the other hosts' announcements are read.
     pub(crate) hosts_position: Mutex<ReadPosition>,
     pub(crate) clock: Box<dyn Clock>,
+    /// This host's work at services whose number of engines follows the demand.
+    pub(crate) demand: Demand,
     /// The duties of one host at a time; `None` if the platform has no API.
     pub(crate) duties: Option<Arc<DutyContext>>,
     /// What this host counts; `None` if the usage is not reported.
@@ -83,6 +86,7 @@
             hosts_position: Mutex::default(),
             clock: Box::new(clock),
             duties,
+            demand: Demand::default(),
             usage,
             metrics: Metrics::to_page(&page),
             page,
--- a/crates/serve/src/duties.rs
+++ b/crates/serve/src/duties.rs
@@ -35,6 +35,7 @@
 use crate::lease_stream::LeaseStream;
 use crate::lease_stream::MAX_CONTENDERS;
 use crate::lease_stream::ROUND_INTERVAL;
+use crate::scaling::ScalingDuty;
 use crate::state::lock;
 use crate::usage::UsageDuty;
 
@@ -225,7 +226,10 @@
     let context = Arc::clone(app.duties.as_ref()?);
     let usage = app.usage.iter().cloned();
     let usage = usage.map(|usage| UsageDuty::new(usage, Arc::clone(&context)));
-    let duties: Vec<Box<dyn Duty>> = usage.map(|duty| Box::new(duty) as _).collect();
+    let mut duties: Vec<Box<dyn Duty>> = usage.map(|duty| Box::new(duty) as _).collect();
+    if app.settings.duties.as_ref().is_some_and(|duties| duties.scales) {
+        duties.push(Box::new(ScalingDuty::new(Arc::clone(&context))));
+    }
     (!duties.is_empty()).then(|| tokio::spawn(run(Arc::clone(app), context, duties)))
 }
 
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -8,6 +8,7 @@
 mod call;
 mod clock;
 mod config;
+mod demand;
 mod duties;
 mod exposure;
 mod flags;
@@ -39,6 +40,7 @@
 mod response;
 mod resume;
 mod runner;
+mod scaling;
 mod slot;
 mod state;
 mod store_contact;
@@ -110,6 +112,9 @@
     let runners = TaskTracker::new();
     let ownership = runners.spawn(ownership::run(Arc::clone(&app)));
     let weights = tokio::spawn(weights::run(Arc::clone(&app)));
+    if settings.duties.as_ref().is_some_and(|duties| duties.scales) {
+        tokio::spawn(demand::run(Arc::clone(&app)));
+    }
     let duties = duties::start(&app);
     let usage = app.usage.is_some().then(|| tokio::spawn(usage::append_counts(Arc::clone(&app))));
     ingress::wait_for_stop_signal(&app).await?;
