--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -353,8 +353,7 @@
             value.map(str::to_owned)
         };
         let number = |name: &str| header(name).and_then(|value| value.parse::<u64>().ok());
-        let (id, last_event_id) =
-            (header("attempt-id").unwrap_or_default(), number("last-event-id"));
+        let id = header("attempt-id").unwrap_or_default();
         if header("expect-instance").is_some_and(|expected| expected != self.spec.id) {
             let headers = vec![("instance-id", self.spec.id.clone())];
             return Reply::Bytes(421, headers, Bytes::new());
@@ -370,7 +369,7 @@
             path: request.uri().to_string(),
             started: Instant::now(),
             timeout_ms: number("deadline-ms"),
-            last_event_id,
+            last_event_id: number("last-event-id"),
             headers: request.headers().clone(),
         });
         if faults.crashing_bodies.iter().any(|body| body.as_bytes() == request.body()) {
@@ -413,7 +412,7 @@
         headers.push(("weight-versions", lock(&self.state).version.to_string()));
         headers.push(("content-type", "text/event-stream".to_owned()));
         let (tx, rx) = mpsc::channel(4);
-        let first = last_event_id.map_or(FIRST_EVENT_ID, |id| id + 1);
+        let first = number("last-event-id").map_or(FIRST_EVENT_ID, |id| id + 1);
         tokio::spawn(Arc::clone(self).stream(run, first, faults.reset_after_events, tx));
         Reply::StreamWith(headers, rx)
     }
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -17,6 +17,7 @@
 //! # });
 //! ```
 
+mod account_steps;
 mod caller;
 mod contracts;
 mod host_links;
@@ -26,6 +27,13 @@
 mod process;
 mod test_env;
 
+pub use crate::account_steps::TRIAL_ACCOUNTS;
+pub use crate::account_steps::assert_customer;
+pub use crate::account_steps::forged_job;
+pub use crate::account_steps::results_with_key;
+pub use crate::account_steps::start_with_accounts;
+pub use crate::account_steps::wait_for_results;
+pub use crate::account_steps::wait_until_known_key_serves;
 pub use crate::caller::Caller;
 pub use crate::caller::JsonResponse;
 pub use crate::contracts::LESERBILD_KEY;
--- a/crates/trials/tests/platform_accounts.rs
+++ b/crates/trials/tests/platform_accounts.rs
@@ -1,4 +1,4 @@
-//! Callers' keys, the customers that targets see, and whose a batch job is.
+//! Callers' keys, and the customers that targets see.
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -6,20 +6,22 @@
 
 use anyhow::Context;
 use cassia_standin::LinkCut;
-use cassia_standin::RequestRun;
 use cassia_trials::HostLinks;
 use cassia_trials::PlatformEnv;
 use cassia_trials::Process;
-use cassia_trials::batch_job;
+use cassia_trials::TRIAL_ACCOUNTS;
+use cassia_trials::assert_customer;
 use cassia_trials::eventually;
-use cassia_trials::split_owner;
+use cassia_trials::forged_job;
 use cassia_trials::start_processes;
+use cassia_trials::start_with_accounts;
+use cassia_trials::wait_for_results;
+use cassia_trials::wait_until_known_key_serves;
+use cassia_trials::wait_until_serving;
 use rstest::rstest;
-use serde_json::Value;
 use serde_json::json;
 use tokio::time::sleep;
 
-const ACCOUNTS: &[(&str, &[&str])] = &[("acme", &["key-a1", "key-a2"]), ("bolt", &["key-b1"])];
 /// Within which time the fault of a link is known.
 const CONTACT: Duration = Duration::from_secs(3);
 
@@ -42,33 +44,6 @@
     }
 }
 
-async fn start(engines: usize, services: usize) -> anyhow::Result<(PlatformEnv, Process)> {
-    let env = PlatformEnv::start().await?.with_targets(engines, services).await?;
-    env.put_accounts(2, ACCOUNTS);
-    let (_, process) = start_processes(&env, 1).await?.pop().context("a process")?;
-    wait_until_serving(&env, &process).await?;
-    Ok((env, process))
-}
-
-async fn wait_until_serving(env: &PlatformEnv, process: &Process) -> anyhow::Result<()> {
-    let serves = || async {
-        env.request_with_key(process, "/quote/1", "first", "key-a1").await.status == 200
-    };
-    anyhow::ensure!(eventually(serves).await, "the process doesn't serve requests");
-    Ok(())
-}
-
-/// Asserts that runs carry this customer, once, and no key.
-fn assert_customer(runs: &[RequestRun], customer: Option<&str>) {
-    assert!(!runs.is_empty(), "nothing ran");
-    for run in runs {
-        let customers: Vec<_> = run.headers.get_all("tenant").iter().collect();
-        let expected: Vec<_> = customer.into_iter().collect();
-        assert_eq!(customers, expected, "{run:?}");
-        assert!(!run.headers.contains_key("authorization"), "{run:?}");
-    }
-}
-
 /// Guards against a target that sees a key, or a customer that the caller made up.
 #[rstest]
 #[case::idempotent("/quote/1")]
@@ -76,7 +51,7 @@
 #[case::stream("/stream/1")]
 #[tokio::test]
 async fn a_target_sees_the_customer_and_no_key(#[case] path: &str) -> anyhow::Result<()> {
-    let (env, process) = start(1, 1).await?;
+    let (env, process) = start_with_accounts(1, 1).await?;
     let headers = [
         ("attempt-id", "r"),
         ("deadline-ms", "3000"),
@@ -93,7 +68,7 @@
 /// Guards against a key in the request that goes on with a stream elsewhere.
 #[tokio::test]
 async fn a_resumed_stream_names_the_customer() -> anyhow::Result<()> {
-    let (env, process) = start(2, 1).await?;
+    let (env, process) = start_with_accounts(2, 1).await?;
     assert_eq!(env.request_with_key(&process, "/stream/1", "r0", "key-a1").await.status, 200);
     let headers = [
         ("attempt-id", "r1"),
@@ -113,7 +88,7 @@
 /// Guards against a key in the second request of one that is sent to two targets.
 #[tokio::test]
 async fn both_attempts_of_a_hedged_request_name_the_customer() -> anyhow::Result<()> {
-    let (env, process) = start(0, 2).await?;
+    let (env, process) = start_with_accounts(0, 2).await?;
     for target in &env.targets {
         target.set_delay(Duration::from_millis(600));
     }
@@ -132,11 +107,11 @@
 #[tokio::test]
 async fn a_forwarded_request_names_the_customer(#[case] path: &str) -> anyhow::Result<()> {
     let env = PlatformEnv::start().await?.with_targets(1, 1).await?;
-    env.put_accounts(2, ACCOUNTS);
+    env.put_accounts(2, TRIAL_ACCOUNTS);
     let links = HostLinks::start(&env).await?;
     let cut = env.start_process_with_store("h1", links.store_addr()).await?;
     let _other = env.start_process("h2").await?;
-    wait_until_serving(&env, &cut).await?;
+    wait_until_known_key_serves(&env, &cut).await?;
     links.cut(LinkCut::Refuse);
     sleep(CONTACT).await;
     let response = env.request_with_key(&cut, path, "r", "key-a1").await;
@@ -153,7 +128,7 @@
 #[case::with_an_unknown_key(Some("Token none"))]
 #[tokio::test]
 async fn a_public_route_needs_no_key(#[case] key: Option<&str>) -> anyhow::Result<()> {
-    let (env, process) = start(0, 1).await?;
+    let (env, process) = start_with_accounts(0, 1).await?;
     let mut headers = vec![("attempt-id", "r"), ("tenant", "forged")];
     headers.extend(key.map(|key| ("authorization", key)));
     let response = env.send("POST", process.listen, "/extra/1", &headers, "ask").await;
@@ -169,7 +144,7 @@
 #[case::two(&["Token key-a1", "Token key-b1"])]
 #[tokio::test]
 async fn a_request_without_a_known_key_is_refused(#[case] keys: &[&str]) -> anyhow::Result<()> {
-    let (env, process) = start(1, 1).await?;
+    let (env, process) = start_with_accounts(1, 1).await?;
     for path in ["/quote/1", "/once/1", "/stream/1", "/job/x"] {
         let mut headers = vec![("attempt-id", "r")];
         headers.extend(keys.iter().map(|key| ("authorization", *key)));
@@ -186,92 +161,18 @@
 /// key to check.
 #[tokio::test]
 async fn a_missing_route_comes_before_a_missing_key() -> anyhow::Result<()> {
-    let (env, process) = start(0, 1).await?;
+    let (env, process) = start_with_accounts(0, 1).await?;
     assert_eq!(env.request(&process, "/nowhere/1", "r").await.status, 404);
     Ok(())
 }
 
-/// Returns a job whose items name a customer and a key themselves.
-fn forged_job(id: &str, items: usize) -> Value {
-    let mut job = batch_job(id, items, 1);
-    for item in job["items"].as_array_mut().into_iter().flatten() {
-        item["headers"]["TENANT"] = json!("forged");
-        item["headers"]["aUTHORIZATION"] = json!("Token key-b1");
-    }
-    job
-}
-
-async fn results(env: &PlatformEnv, process: &Process, job: &str, key: &str) -> Vec<Value> {
-    let path = format!("/v1/lots/{job}");
-    let page = env.job_call_with_key("GET", process, &path, key, "").await.json();
-    page["results"].as_array().cloned().unwrap_or_default()
-}
-
-async fn wait_for_results(
-    env: &PlatformEnv,
-    process: &Process,
-    job: &str,
-    key: &str,
-    count: usize,
-) -> anyhow::Result<()> {
-    let done = || async { results(env, process, job, key).await.len() == count };
-    anyhow::ensure!(eventually(done).await, "not all results of {job}");
-    Ok(())
-}
-
-/// Guards against items of a revoked key that stop, or run without a customer, and
-/// against keys in the headers of items and of their reward calls.
-#[tokio::test]
-async fn items_run_for_their_customer_after_its_key_was_removed() -> anyhow::Result<()> {
-    let (env, process) = start(2, 1).await?;
-    for target in env.targets.iter().filter(|target| target.is_engine()) {
-        target.set_delay(Duration::from_millis(60));
-    }
-    let job = forged_job("j", 40);
-    assert_eq!(env.submit_job_with_key(&process, "j", &job, "key-a1").await.status, 202);
-    env.put_accounts(3, &[("acme", &["key-a2"]), ("bolt", &["key-b1"])]);
-    let removed =
-        || async { env.request_with_key(&process, "/quote/1", "q", "key-a1").await.status == 401 };
-    anyhow::ensure!(eventually(removed).await, "the key is not removed");
-    let before = results(&env, &process, "j", "key-a2").await.len();
-    assert!(before < 40, "all items ran before the key was removed");
-    wait_for_results(&env, &process, "j", "key-a2", 40).await?;
-    for n in 0..40 {
-        assert_customer(&env.runs_of(&format!("j-{n}")), Some("acme"));
-        assert_customer(&env.runs_of(&format!("j-{n}-score")), None);
-    }
-    Ok(())
-}
-
-/// Guards against a customer that another host does not find in the records of a job
-/// which it takes over.
-#[tokio::test]
-async fn items_run_for_their_customer_at_the_next_owner() -> anyhow::Result<()> {
-    let env = PlatformEnv::start().await?.with_targets(2, 1).await?;
-    env.put_accounts(2, ACCOUNTS);
-    let (mut owner, others) = split_owner(&env, "j", start_processes(&env, 2).await?);
-    wait_until_serving(&env, &owner).await?;
-    wait_until_serving(&env, &others[0]).await?;
-    let job = forged_job("j", 40);
-    assert_eq!(env.submit_job_with_key(&owner, "j", &job, "key-b1").await.status, 202);
-    let running = || async { env.targets.iter().any(|t| t.is_engine() && !t.running().is_empty()) };
-    anyhow::ensure!(eventually(running).await, "no item is running");
-    owner.kill();
-    wait_for_results(&env, &others[0], "j", "key-b1", 40).await?;
-    for n in 0..40 {
-        assert_customer(&env.runs_of(&format!("j-{n}")), Some("bolt"));
-        assert_customer(&env.runs_of(&format!("j-{n}-score")), None);
-    }
-    Ok(())
-}
-
 /// Guards against other requests than before in the deployments without accounts: their
 /// targets may use these headers in their own way.
 #[tokio::test]
 async fn headers_reach_targets_as_they_came_without_accounts() -> anyhow::Result<()> {
     let env = PlatformEnv::start().await?.with_targets(1, 1).await?;
     let (_, process) = start_processes(&env, 1).await?.pop().context("a process")?;
-    cassia_trials::wait_until_serving(&env, &process).await?;
+    wait_until_serving(&env, &process).await?;
     let headers = [("attempt-id", "r"), ("authorization", "Basic x"), ("tenant", "own")];
     let response = env.send("POST", process.listen, "/quote/1", &headers, "ask").await;
     assert_eq!(response.status, 200, "{response:?}");
@@ -288,93 +189,11 @@
     Ok(())
 }
 
-/// Guards against a customer that reads, ends or takes over another's job.
-#[tokio::test]
-async fn a_job_exists_for_its_customer_only() -> anyhow::Result<()> {
-    let (env, process) = start(1, 1).await?;
-    let job = batch_job("j", 4, 1);
-    assert_eq!(env.submit_job_with_key(&process, "j", &job, "key-a1").await.status, 202);
-    let body = "/v1/items/j?instance_id=j-1";
-    let foreign_calls = [("GET", "/v1/lots/j"), ("GET", body), ("DELETE", "/v1/lots/j")];
-    for (method, path) in foreign_calls {
-        let response = env.job_call_with_key(method, &process, path, "key-b1", "").await;
-        assert_eq!((response.status, &response.json()["kind"]), (404, &json!("no_such_job")));
-        let unknown = env.job_call_with_key(method, &process, path, "none", "").await;
-        assert_eq!(unknown.status, 401, "{unknown:?}");
-    }
-    let partition = cassia_jobs::partition("j", cassia_trials::PARTITIONS);
-    let foreign = batch_job("j", 8, 1);
-    let response = env.submit_job_with_key(&process, "j", &foreign, "key-b1").await;
-    assert_eq!(response.status, 404, "{response:?}");
-    let submissions = env.store.records("jobs", partition).into_iter().filter(|record| {
-        let record = cassia_jobs::JobRecord::decode(record.clone());
-        matches!(record, cassia_jobs::JobRecord::Part { .. })
-    });
-    assert_eq!(submissions.count(), 1, "the refused submission is in the log");
-    // Another key of the same customer has the same rights.
-    wait_for_results(&env, &process, "j", "key-a2", 4).await?;
-    let response = env.job_call_with_key("GET", &process, body, "key-a2", "").await;
-    assert_eq!((response.status, response.body.as_ref()), (200, &b"prompt"[..]));
-    assert_eq!(env.submit_job_with_key(&process, "j", &job, "key-a2").await.status, 202);
-    let response = env.job_call_with_key("DELETE", &process, "/v1/lots/j", "key-a2", "").await;
-    assert!(response.status < 300, "{response:?}");
-    Ok(())
-}
-
-/// Guards against a customer that gets an acceptance for an id under which another's job
-/// was accepted at the same time, by another host.
-#[tokio::test]
-async fn of_two_customers_one_gets_the_id() -> anyhow::Result<()> {
-    let env = PlatformEnv::start().await?.with_targets(1, 1).await?;
-    env.put_accounts(2, ACCOUNTS);
-    let processes = start_processes(&env, 2).await?;
-    for (_, process) in &processes {
-        wait_until_serving(&env, process).await?;
-    }
-    for n in 0..20 {
-        let id = format!("j{n}");
-        let job = batch_job(&id, 4, 1);
-        let (a, b) = tokio::join!(
-            env.submit_job_with_key(&processes[0].1, &id, &job, "key-a1"),
-            env.submit_job_with_key(&processes[1].1, &id, &job, "key-b1"),
-        );
-        let mut statuses = [a.status, b.status];
-        statuses.sort_unstable();
-        assert_eq!(statuses, [202, 404], "{a:?} {b:?}");
-        let winner = if a.status == 202 { "key-a1" } else { "key-b1" };
-        wait_for_results(&env, &processes[0].1, &id, winner, 4).await?;
-    }
-    Ok(())
-}
-
-/// Guards against items that run without their customer's name: a job that was accepted
-/// before there were accounts, or by an earlier release, has none.
-#[tokio::test]
-async fn a_job_without_a_customer_is_not_shown_and_does_not_run() -> anyhow::Result<()> {
-    let mut env = PlatformEnv::start().await?.with_targets(0, 1).await?;
-    let (_, process) = start_processes(&env, 1).await?.pop().context("a process")?;
-    assert_eq!(env.submit_job(&process, "j", &batch_job("j", 4, 1)).await.status, 202);
-    env.put_accounts(2, ACCOUNTS);
-    wait_until_serving(&env, &process).await?;
-    let engine = env.add_engine("e", 6).await?;
-    // The engine is used as soon as it is known.
-    let job = batch_job("k", 4, 1);
-    assert_eq!(env.submit_job_with_key(&process, "k", &job, "key-a1").await.status, 202);
-    wait_for_results(&env, &process, "k", "key-a1", 4).await?;
-    for key in ["key-a1", "key-b1"] {
-        let response = env.job_call_with_key("GET", &process, "/v1/lots/j", key, "").await;
-        assert_eq!(response.status, 404, "{response:?}");
-    }
-    let runs = engine.runs();
-    assert!(runs.iter().all(|run| run.id.starts_with("k-")), "{runs:?}");
-    Ok(())
-}
-
 /// Guards against a 401 for a key that was added just before, on a connection that was
 /// opened earlier, and against requests with a key that was removed.
 #[tokio::test]
 async fn a_new_key_is_known_at_once_and_a_removed_one_for_three_seconds() -> anyhow::Result<()> {
-    let (env, process) = start(0, 1).await?;
+    let (env, process) = start_with_accounts(0, 1).await?;
     let client = cassia_trials::PlatformClient::new(cassia_trials::Connections::KeepAlive);
     let ask = async |id: String, key: &str| {
         let token = format!("Token {key}");
@@ -410,7 +229,7 @@
 async fn a_host_without_the_store_serves_known_keys(
     #[case] faults: cassia_standin::StoreFaults,
 ) -> anyhow::Result<()> {
-    let (env, process) = start(0, 1).await?;
+    let (env, process) = start_with_accounts(0, 1).await?;
     env.store.set_faults(faults);
     let began = Instant::now();
     let response = env.request_with_key(&process, "/quote/1", "u", "none").await;
@@ -434,7 +253,7 @@
 /// memory for all of them.
 #[tokio::test]
 async fn unknown_keys_hold_up_no_known_one() -> anyhow::Result<()> {
-    let (env, process) = start(0, 1).await?;
+    let (env, process) = start_with_accounts(0, 1).await?;
     env.store.set_faults(cassia_standin::StoreFaults { hang: true, ..Default::default() });
     let unknown = futures::future::join_all((0..600).map(|n| {
         let (env, process, id) = (&env, &process, format!("u{n}"));
@@ -472,11 +291,11 @@
 #[tokio::test]
 async fn strict_revocation_refuses_keys_after_its_time() -> anyhow::Result<()> {
     let env = PlatformEnv::start().await?.with_targets(0, 1).await?;
-    env.put_accounts(2, ACCOUNTS);
+    env.put_accounts(2, TRIAL_ACCOUNTS);
     let log = LogFile::new("strict");
     let flags = ["--strict-revoke=true", "--revoke-ms=2000"];
     let process = Process::start_serve_logged("h1", env.store.addr(), &flags, &log.0)?;
-    wait_until_serving(&env, &process).await?;
+    wait_until_known_key_serves(&env, &process).await?;
     for n in 0..30 {
         let id = format!("r{n}");
         let response = env.request_with_key(&process, "/quote/1", &id, "key-a1").await;
@@ -494,7 +313,7 @@
     assert_eq!((response.status, &response.json()["kind"]), (503, &json!("key_unconfirmed")));
     assert_eq!(env.request(&process, "/extra/1", "public").await.status, 200);
     env.store.set_faults(cassia_standin::StoreFaults::default());
-    wait_until_serving(&env, &process).await
+    wait_until_known_key_serves(&env, &process).await
 }
 
 /// Guards against keys in log lines, dumps, metrics and answers, and against a log that
@@ -502,10 +321,10 @@
 #[tokio::test]
 async fn no_key_is_written_anywhere() -> anyhow::Result<()> {
     let env = PlatformEnv::start().await?.with_targets(1, 1).await?;
-    env.put_accounts(2, ACCOUNTS);
+    env.put_accounts(2, TRIAL_ACCOUNTS);
     let log = LogFile::new("keys");
     let process = Process::start_serve_logged("h1", env.store.addr(), &[], &log.0)?;
-    wait_until_serving(&env, &process).await?;
+    wait_until_known_key_serves(&env, &process).await?;
     let mut written = String::new();
     let ids: Vec<_> = (0..200).map(|n| format!("u{n}")).collect();
     let refused = ids.iter().map(|id| env.request_with_key(&process, "/quote/1", id, "key-none"));
