Accounts: a key is checked again after the body; number of waiting requests

Cause: a body may take 15 s to come. A key that was removed meanwhile was served, and a key was forwarded if the configuration got its accounts meanwhile.

Change: the request is identified again if the configuration has changed while the body came. Metric key.waiting.

--- a/crates/serve/src/accounts.rs
+++ b/crates/serve/src/accounts.rs
@@ -1,5 +1,6 @@
 //! For which customer a request is.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -96,6 +97,28 @@
     app.key_reads.wait_for_read(|| find(app.state.routes.load().as_ref()?, key)).await
 }
 
+/// Finds out again for which customer a request is if the configuration is no longer
+/// `before`. A body may take longer to come than a removed key may be served.
+///
+/// # Errors
+///
+/// As [`identify`].
+pub(crate) async fn identify_again(
+    app: &App,
+    before: &RouteTable,
+    route: &Route,
+    path: &str,
+    key: Option<&ApiKey>,
+    requester: Requester,
+) -> Result<Requester, Refusal> {
+    let newest = app.state.routes.load_full();
+    let Some(newest) = newest.filter(|newest| newest.version != before.version) else {
+        return Ok(requester);
+    };
+    let route = newest.find(&route.host, path).map_or(route, Arc::as_ref);
+    identify(app, &newest, Some(route), key).await
+}
+
 /// Returns whether the requests of a route need no key. Those that submit jobs do: a
 /// job without a customer is shown to nobody.
 fn is_public(route: &Route) -> bool {
@@ -140,6 +163,6 @@
 }
 
 /// Returns whether the configuration has accounts.
-fn has_accounts(app: &App) -> bool {
+pub(crate) fn has_accounts(app: &App) -> bool {
     app.state.routes.load().as_ref().is_some_and(|table| table.accounts.is_some())
 }
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -36,6 +36,7 @@
 
 use crate::accounts::Requester;
 use crate::accounts::identify;
+use crate::accounts::identify_again;
 use crate::app::App;
 use crate::body;
 use crate::call;
@@ -268,6 +269,11 @@
         Ok(body) => body,
         Err(refusal) => return refuse(app, &head.id, refusal),
     };
+    let (path, key) = (parts.uri.path(), head.key.as_ref());
+    let requester = match identify_again(app, &table, &route, path, key, requester).await {
+        Ok(requester) => requester,
+        Err(refusal) => return refuse(app, &head.id, refusal),
+    };
     match route.kind {
         RouteKind::Job if parts.method == Method::POST => {
             submit::handle(app, &head, &route, &parts, body, &requester).await
--- a/crates/serve/src/key_reads.rs
+++ b/crates/serve/src/key_reads.rs
@@ -80,6 +80,11 @@
         *lock(&self.position) = position;
     }
 
+    /// Returns the number of requests that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        lock(&self.reads).waiting()
+    }
+
     /// Waits until `find` returns a requester, or a read that begins after this call has
     /// ended.
     pub(crate) async fn wait_for_read(
--- a/crates/serve/src/ops.rs
+++ b/crates/serve/src/ops.rs
@@ -18,6 +18,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::accounts;
 use crate::app::App;
 use crate::state::lock;
 
@@ -45,6 +46,9 @@
         app.metrics.gauge("target.in_flight", &target.info.id, u64::from(target.in_flight()));
     }
     app.metrics.gauge("config.version", "all", app.state.config_version());
+    if accounts::has_accounts(app) {
+        app.metrics.gauge("key.waiting", "all", app.key_reads.waiting() as u64);
+    }
     let text = app.page.render();
     Ok(Response::builder().header("content-type", "text/plain").body(text.into())?)
 }
--- a/crates/trials/tests/platform_account_jobs.rs
+++ b/crates/trials/tests/platform_account_jobs.rs
@@ -5,6 +5,7 @@
 use anyhow::Context;
 use cassia_trials::PlatformEnv;
 use cassia_trials::TRIAL_ACCOUNTS;
+use cassia_trials::accounts_config;
 use cassia_trials::assert_customer;
 use cassia_trials::batch_job;
 use cassia_trials::eventually;
@@ -122,6 +123,24 @@
     Ok(())
 }
 
+/// Guards against jobs that are accepted and then shown to nobody, since whose they are
+/// is not known.
+#[tokio::test]
+async fn a_job_needs_a_key_also_on_a_public_route() -> anyhow::Result<()> {
+    let (env, process) = start_with_accounts(1, 1).await?;
+    let mut config = accounts_config(3, &[("bolt", &["key-b1"])]);
+    for route in config["routes"].as_array_mut().into_iter().flatten() {
+        route["public"] = json!(true);
+    }
+    env.store.put("keyed.op", "config", Some(&config));
+    let in_force = || async { env.request(&process, "/quote/1", "q").await.status == 200 };
+    anyhow::ensure!(eventually(in_force).await, "the configuration is not in force");
+    let job = batch_job("j", 4, 1);
+    assert_eq!(env.submit_job(&process, "j", &job).await.status, 401);
+    assert_eq!(env.submit_job_with_key(&process, "j", &job, "key-b1").await.status, 202);
+    wait_for_results(&env, &process, "j", "key-b1", 4).await
+}
+
 /// Guards against items that run without their customer's name: a job that was accepted
 /// before there were accounts, or by an earlier release, has none.
 #[tokio::test]
