--- a/crates/serve/src/accounts.rs
+++ b/crates/serve/src/accounts.rs
@@ -1,5 +1,6 @@
 //! For which customer a request is.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -28,6 +29,15 @@
 }
 
 impl Requester {
+    /// Returns on whose behalf the reward calls of a job are made; a job without a
+    /// customer was accepted under a configuration without accounts.
+    pub(crate) fn of_job(customer: &str) -> Self {
+        match customer {
+            "" => Self::Unidentified,
+            customer => Self::Job(customer.into()),
+        }
+    }
+
     /// Returns what the target learns.
     pub(crate) fn header(&self) -> CustomerHeader<'_> {
         match self {
@@ -87,6 +97,28 @@
     app.key_reads.wait_for_read(|| find(app.state.routes.load().as_ref()?, key)).await
 }
 
+/// Finds out again for which customer a request is if the configuration is no longer
+/// `before`. A body may take longer to come than a removed key may be served.
+///
+/// # Errors
+///
+/// As [`identify`].
+pub(crate) async fn identify_again(
+    app: &App,
+    before: &RouteTable,
+    route: &Route,
+    path: &str,
+    key: Option<&ApiKey>,
+    requester: Requester,
+) -> Result<Requester, Refusal> {
+    let newest = app.state.routes.load_full();
+    let Some(newest) = newest.filter(|newest| newest.version != before.version) else {
+        return Ok(requester);
+    };
+    let route = newest.find(&route.host, path).map_or(route, Arc::as_ref);
+    identify(app, &newest, Some(route), key).await
+}
+
 /// Returns whether the requests of a route need no key. Those that submit jobs do: a
 /// job without a customer is shown to nobody.
 fn is_public(route: &Route) -> bool {
@@ -120,6 +152,16 @@
     !customer.is_empty() || !has_accounts(app)
 }
 
+/// Returns what engines learn about the customer of an item. Where accounts came after
+/// its job, a run that was about to begin forwards no key that the item names.
+pub(crate) fn item_header<'a>(app: &App, customer: &'a str) -> CustomerHeader<'a> {
+    match customer {
+        "" if has_accounts(app) => CustomerHeader::Removed,
+        "" => CustomerHeader::Unchanged,
+        customer => CustomerHeader::Named(customer),
+    }
+}
+
 /// Returns whether the configuration has accounts.
 pub(crate) fn has_accounts(app: &App) -> bool {
     app.state.routes.load().as_ref().is_some_and(|table| table.accounts.is_some())
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -364,13 +364,12 @@
         if refused || faults.response == ResponseFault::Busy {
             return faults.refusal.reply(id);
         }
-        let last_event_id = number("last-event-id");
         let run = self.start_run(RequestRun {
             id: id.clone(),
             path: request.uri().to_string(),
             started: Instant::now(),
             timeout_ms: number("deadline-ms"),
-            last_event_id,
+            last_event_id: number("last-event-id"),
             headers: request.headers().clone(),
         });
         if faults.crashing_bodies.iter().any(|body| body.as_bytes() == request.body()) {
@@ -413,7 +412,7 @@
         headers.push(("weight-versions", lock(&self.state).version.to_string()));
         headers.push(("content-type", "text/event-stream".to_owned()));
         let (tx, rx) = mpsc::channel(4);
-        let first = last_event_id.map_or(FIRST_EVENT_ID, |id| id + 1);
+        let first = number("last-event-id").map_or(FIRST_EVENT_ID, |id| id + 1);
         tokio::spawn(Arc::clone(self).stream(run, first, faults.reset_after_events, tx));
         Reply::StreamWith(headers, rx)
     }
