--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -25,6 +25,7 @@
 mod platform_steps;
 mod process;
 mod test_env;
+mod usage_trial;
 
 pub use crate::caller::Caller;
 pub use crate::caller::JsonResponse;
@@ -52,3 +53,5 @@
 pub use crate::test_env::TestEnv;
 pub use crate::test_env::contract_revision;
 pub use crate::test_env::eventually;
+pub use crate::usage_trial::UsageCounts;
+pub use crate::usage_trial::UsageTrial;
