Usage: the last counts are appended after the last request is answered

Cause: in a planned stop the last counts were appended when the server began to close, but open connections finish their requests after that. Ruled out: the interval of appends, which had ended with it. Change: counts are appended at intervals until the server is closed, and then once more before the process ends.

--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -109,7 +109,10 @@
     let ownership = runners.spawn(ownership::run(Arc::clone(&app)));
     let weights = tokio::spawn(weights::run(Arc::clone(&app)));
     let duties = duties::start(&app);
-    let usage = app.usage.is_some().then(|| tokio::spawn(usage::append_counts(Arc::clone(&app))));
+    let usage = app.usage.clone().map(|usage| {
+        let appends = tokio::spawn(usage::append_counts(Arc::clone(&app), Arc::clone(&usage)));
+        (usage, appends)
+    });
     ingress::wait_for_stop_signal(&app).await?;
     let deadline = Instant::now() + settings.stop_limit();
     runners.close();
@@ -124,12 +127,14 @@
     server.close(deadline).await;
     // Beyond the limit, requests of other hosts' callers are cut off too.
     let _ = timeout_at(deadline.into(), forwarded.wait()).await;
-    let controllers = [
-        (Some(ownership), "runners"),
-        (Some(weights), "orders"),
-        (usage, "usage"),
-        (duties, "duties"),
-    ];
+    if let Some((usage, appends)) = usage {
+        appends.abort();
+        // Requests are answered, and counted, while the server closes.
+        if timeout_at(deadline.into(), usage::append_last(&app, &usage)).await.is_err() {
+            log::warn!(event = "cut_off", step = "usage"; "aborted at the stop limit");
+        }
+    }
+    let controllers = [(Some(ownership), "runners"), (Some(weights), "orders"), (duties, "duties")];
     for (task, step) in controllers {
         let Some(task) = task else { continue };
         // In an outage of the store, results and the lease can't be handed on.
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -8,7 +8,7 @@
 //! | `owned` | the ownership controller | the runners |
 //! | `duty_rank` | the ownership controller | the weights and duties controllers |
 //! | `stopping` | the main task | all |
-//! | `drained` | the main task | the weights, duties and usage controllers |
+//! | `drained` | the main task | the weights and duties controllers |
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/crates/serve/src/usage.rs
+++ b/crates/serve/src/usage.rs
@@ -22,7 +22,6 @@
 use cassia_usage::UsageLedger;
 use cassia_usage::UsageRecord;
 use cassia_usage::WindowCounts;
-use tokio::time::timeout;
 
 use crate::accounts::Requester;
 use crate::app::App;
@@ -97,17 +96,18 @@
     }
 }
 
-/// Appends this host's counts until a planned stop has served its last request, and
-/// then the last ones.
-pub(crate) async fn append_counts(app: Arc<App>) {
-    let Some(usage) = &app.usage else { return };
-    let mut drained = app.state.drained.subscribe();
-    while !*drained.borrow() {
-        append_new(&app, usage).await;
-        // The sender lives as long as the shared state.
-        let _ = timeout(APPEND_INTERVAL, drained.wait_for(|drained| *drained)).await;
+/// Appends this host's counts until it is aborted.
+pub(crate) async fn append_counts(app: Arc<App>, usage: Arc<Usage>) {
+    loop {
+        append_new(&app, &usage).await;
+        tokio::time::sleep(APPEND_INTERVAL).await;
     }
-    while !append_new(&app, usage).await {
+}
+
+/// Appends what is left in a planned stop that has answered its last request, however
+/// long that takes.
+pub(crate) async fn append_last(app: &App, usage: &Usage) {
+    while !append_new(app, usage).await {
         tokio::time::sleep(RETRY_DELAY).await;
     }
 }
--- a/crates/trials/src/usage_trial.rs
+++ b/crates/trials/src/usage_trial.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use cassia_standin::PlatformApiStandin;
+use futures::future::join_all;
 use serde_json::Value;
 use serde_json::json;
 use tokio::time::sleep;
@@ -22,6 +23,8 @@
 const LEASE: Duration = Duration::from_secs(3);
 /// Time between two requests of a load.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
+/// How long after requests were sent a host is stopped.
+const STOP_DELAY: Duration = Duration::from_millis(100);
 /// How long reports may take beyond a fault: the lease's term, the wait of a new
 /// holder, and the age at which windows are decided, with a margin for a busy machine.
 const REPORT_LIMIT: Duration = Duration::from_secs(25);
@@ -91,6 +94,39 @@
         Ok(())
     }
 
+    /// Sends requests of a customer to a route at once and stops the host meanwhile, as
+    /// planned. All must be answered.
+    ///
+    /// # Errors
+    ///
+    /// A request failed.
+    pub async fn stop_with_requests(
+        &mut self,
+        host: &str,
+        path: &str,
+        count: u64,
+    ) -> anyhow::Result<()> {
+        let (env, process) = (&self.env, self.process(host)?);
+        let listen = process.listen;
+        let stop = async {
+            sleep(STOP_DELAY).await;
+            process.terminate();
+        };
+        let send = |n| async move {
+            let id = format!("stop-{host}-{n}");
+            let headers = [
+                ("attempt-id", id.as_str()),
+                ("deadline-ms", "3000"),
+                ("authorization", "Token k1"),
+            ];
+            env.send("POST", listen, path, &headers, "ask").await.status
+        };
+        let (statuses, ()) = tokio::join!(join_all((0..count).map(send)), stop);
+        anyhow::ensure!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+        *self.sent.entry("leserbild".to_owned()).or_default() += count;
+        Ok(())
+    }
+
     /// Sends a request of a customer, which must be answered. Every fifth is a stream.
     ///
     /// # Errors
--- a/crates/trials/tests/platform_usage.rs
+++ b/crates/trials/tests/platform_usage.rs
@@ -4,11 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use anyhow::Context;
 use cassia_standin::PlatformApiFault;
 use cassia_standin::StoreFaults;
+use cassia_standin::TargetSpec;
 use cassia_trials::UsageTrial;
 use cassia_trials::eventually;
+use cassia_trials::platform_config;
+use serde_json::json;
 
+/// How long a request takes at a slow target, which is longer than a host that stops waits
+/// for new requests.
+const SLOW_REQUEST: Duration = Duration::from_millis(2_500);
 /// How long the holder is frozen: past its term and the wait of the next one.
 const FREEZE: Duration = Duration::from_secs(8);
 
@@ -109,17 +116,32 @@
 }
 
 /// Guards against counts that are lost with the memory of a host that stops as planned,
-/// whether it holds the lease or not.
+/// whether it holds the lease or not: its last requests are answered at the very end.
 #[tokio::test]
 async fn a_planned_stop_loses_no_counts() -> anyhow::Result<()> {
     let mut trial = UsageTrial::start(3).await?;
+    trial
+        .env
+        .add_target(TargetSpec {
+            id: "slow".to_owned(),
+            service: "slow".to_owned(),
+            model: None,
+            events: 0,
+            delay: SLOW_REQUEST,
+        })
+        .await?;
+    let mut config = platform_config(3, true);
+    config["tenants"] = json!([
+        {"name": "leserbild", "api_keys": ["k1"]}, {"name": "hule930", "api_keys": ["k2"]}]);
+    let routes = config["routes"].as_array_mut().context("no routes")?;
+    let extra = routes.iter_mut().find(|route| route["name"] == "extra").context("no route")?;
+    extra["service"] = json!("slow");
+    trial.env.store.put("keyed.op", "config", Some(&config));
     let (holder, others) = trial.holder().await?;
     let last = others.last().cloned().unwrap_or_default();
+    trial.load(&names(&others), Duration::from_secs(4)).await?;
     for host in [&holder, &others[0]] {
-        for _ in 0..20 {
-            trial.request(host).await?;
-        }
-        trial.process(host)?.terminate();
+        trial.stop_with_requests(host, "/extra/1", 20).await?;
     }
     trial.load(&[&last], Duration::from_secs(1)).await?;
     trial.wait_for_reports().await?;
