--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -26,6 +26,7 @@
 mod platform_steps;
 mod process;
 mod test_env;
+mod usage_trial;
 
 pub use crate::account_steps::TRIAL_ACCOUNTS;
 pub use crate::account_steps::assert_customer;
@@ -61,3 +62,5 @@
 pub use crate::test_env::TestEnv;
 pub use crate::test_env::contract_revision;
 pub use crate::test_env::eventually;
+pub use crate::usage_trial::UsageCounts;
+pub use crate::usage_trial::UsageTrial;
