--- a/crates/scaling/src/autoscaler.rs
+++ b/crates/scaling/src/autoscaler.rs
@@ -83,8 +83,6 @@
     LowDemand,
     /// Another mix of engines costs less.
     CheaperMix,
-    /// The answer to the order was lost.
-    Repeated,
 }
 
 impl Reason {
@@ -97,7 +95,6 @@
             Self::Minimum => "minimum",
             Self::LowDemand => "low_demand",
             Self::CheaperMix => "cheaper_mix",
-            Self::Repeated => "repeated",
         }
     }
 }
@@ -176,12 +173,6 @@
         state.ordered = Some(Ordered { count: order.count, expected_until });
     }
 
-    /// Sets the order that is to be repeated because its answer is not known.
-    pub fn resume(&mut self, order: CapacityOrder) {
-        self.reason = Reason::Repeated;
-        self.pending = Some(order);
-    }
-
     /// Updates what is known of the service.
     pub fn observe(&mut self, seen: &Observation, now: Instant) {
         self.first_seen.get_or_insert(now);
--- a/crates/scaling/src/pool.rs
+++ b/crates/scaling/src/pool.rs
@@ -60,21 +60,31 @@
             / f64::from(slots);
         self.busy = open().map(|engine| engine.load).sum::<u32>().div_ceil(slots);
         let was_lost = serving < self.serving && serving < self.committed();
-        let is_reclaim = was_lost && leaving > self.leaving;
+        if is_spot {
+            self.observe_spot(serving, was_lost && leaving > self.leaving, now);
+        } else if self.ordered.is_none_or(|o| serving > o.count && now >= o.expected_until) {
+            // On-demand engines that restart come back: a lower order would remove
+            // others. Those that the platform did not reduce count.
+            let count = serving + if self.ordered.is_none() { leaving } else { 0 };
+            self.ordered = Some(Ordered { count, expected_until: now });
+        }
+        (self.serving, self.leaving) = (serving, leaving);
+        was_lost
+    }
+
+    /// Updates what is expected of spot engines; those that are reclaimed don't come
+    /// back unless they are ordered again.
+    fn observe_spot(&mut self, serving: u32, is_reclaim: bool, now: Instant) {
         if is_reclaim {
             // The engines that were ordered and don't serve yet go with them.
             self.ordered = None;
             self.avoided_until = Some(now + RECLAIM_AVOIDANCE);
         }
-        // Beyond the time in which engines start, those that the platform did not
-        // reduce count, and spot engines that are not there were reclaimed.
-        let differs =
-            |ordered: Ordered| serving > ordered.count || (is_spot && serving < ordered.count);
-        if self.ordered.is_some_and(differs) && !self.is_expected(now) {
+        // Beyond the time in which engines start, what the platform runs counts.
+        let differs = self.ordered.is_some_and(|ordered| serving != ordered.count);
+        if differs && !self.is_expected(now) {
             self.ordered = None;
         }
-        (self.serving, self.leaving) = (serving, leaving);
-        was_lost
     }
 }
 
--- a/crates/scaling/tests/loads.rs
+++ b/crates/scaling/tests/loads.rs
@@ -3,7 +3,14 @@
 
 mod sim;
 
+use std::time::Duration;
+use std::time::Instant;
+
 use cassia_clients::CapacityAnswer;
+use cassia_scaling::Autoscaler;
+use cassia_scaling::EngineState;
+use cassia_scaling::Observation;
+use cassia_scaling::ScalingPolicy;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -217,6 +224,19 @@
     assert_eq!((sim.count(false), sim.count(true)), before, "{:?}", &sim.calls[calls..]);
 }
 
+/// Load: a trainer with steps of 2 s beside many engines. Guards against a holder that
+/// removes on-demand engines before it has known the load for 20 s.
+#[test]
+fn on_demand_engines_are_kept_for_the_first_seconds() {
+    let mut sim = Sim::new(limits(1, 16), 6);
+    let (period_ms, work_ms) = (2_000, 1_000);
+    sim.trainers = vec![Trainer { model: "m0", start_ms: 0, period_ms, items: 4, work_ms }];
+    sim.run(20_000);
+    assert_eq!(sim.calls, Vec::new());
+    sim.run(60_000);
+    assert!(sim.count(false) < 18, "they are removed later");
+}
+
 /// Configuration: the minimum equals the maximum, by which an operator holds the
 /// number of engines. Guards against any order, whatever the load is.
 #[test]
@@ -242,25 +262,62 @@
     }
 }
 
-/// Failure: the answer to an order is lost. Guards against an order that is added
-/// to the first instead of repeated.
+/// Failure: the answer to an order is lost while the demand changes. Guards against
+/// another order before the first one is answered.
 #[test]
 fn an_order_without_an_answer_is_repeated() {
-    let mut sim = Sim::new(limits(1, 12), 2);
-    sim.step();
-    let order = cassia_clients::CapacityOrder {
-        service: "llm".into(),
-        data_centre: "z2".into(),
-        count: 5,
-        spot: true,
-    };
-    sim.scaler.resume(order.clone());
-    sim.callers = 40;
-    for _ in 0..3 {
-        assert_eq!(sim.scaler.next_order(sim.now()), Some(order.clone()));
+    let mut scaler = autoscaler();
+    let now = Instant::now();
+    scaler.observe(&observation(3, 0, 40), now);
+    let order = scaler.next_order(now);
+    assert!(order.is_some());
+    for second in 1..20 {
+        let now = now + Duration::from_secs(second);
+        scaler.observe(&observation(3, 0, if second % 2 == 0 { 0 } else { 80 }), now);
+        assert_eq!(scaler.next_order(now), order);
     }
-    sim.scaler.record_answer(&order, CapacityAnswer::Accepted, sim.now());
-    assert_ne!(sim.scaler.next_order(sim.now()), Some(order));
+    let order = order.expect("an order");
+    scaler.record_answer(&order, CapacityAnswer::Accepted, now);
+    assert_ne!(scaler.next_order(now), Some(order));
+}
+
+/// Failure: on-demand engines restart one after another with another version of their
+/// software, and the others don't cover the demand. Guards against an order to grow
+/// that is below the number that the platform runs, which would remove engines.
+#[rstest]
+#[case::from_the_start(false)]
+#[case::later(true)]
+fn restarting_engines_are_not_ordered_away(#[case] known_before: bool) {
+    let mut scaler = autoscaler();
+    let now = Instant::now();
+    if known_before {
+        scaler.observe(&observation(6, 0, 16), now);
+    }
+    for second in 1..20 {
+        let now = now + Duration::from_secs(second);
+        scaler.observe(&observation(4, 2, 15), now);
+        let Some(order) = scaler.next_order(now) else { continue };
+        assert!(order.spot || order.data_centre != "z1" || order.count >= 6, "{order:?}");
+        scaler.record_answer(&order, CapacityAnswer::Accepted, now);
+    }
+}
+
+fn autoscaler() -> Autoscaler {
+    Autoscaler::new(ScalingPolicy { service: "llm".into(), limits: limits(0, 12) })
+}
+
+/// On-demand engines of one data centre that serve and that shut down.
+fn observation(serving: u32, leaving: u32, callers: u32) -> Observation {
+    let engine = |leaving| EngineState {
+        data_centre: "z1".into(),
+        spot: false,
+        leaving,
+        slots: SLOTS,
+        load: 0,
+        speed: 1.0,
+    };
+    let engines = (0..serving).map(|_| engine(false)).chain((0..leaving).map(|_| engine(true)));
+    Observation { engines: engines.collect(), callers, ..Observation::default() }
 }
 
 proptest! {
