Scaling: engines for a utilisation of a half

Cause: jobs did not get the slots that were free, since an engine runs only the models whose weights it has and takes nothing new while it loads a version.

Ruled out: counting each model's peak by itself; models share engines in part.

Change: the target is 0.5, and engines are ordered from 0.6 on.

--- a/crates/scaling/src/autoscaler.rs
+++ b/crates/scaling/src/autoscaler.rs
@@ -26,11 +26,13 @@
 use crate::pool::PoolState;
 use crate::pool::to_u32;
 
-/// Part of the slots that the demand fills after growth.
-const TARGET_UTILISATION: f64 = 0.8;
+/// Part of the slots that the demand fills after growth. An engine runs only the models
+/// whose weights it has, and takes no new work while it loads a version, so a job can't
+/// use all slots that are free.
+const TARGET_UTILISATION: f64 = 0.5;
 /// Part of the slots that the demand may fill before engines are ordered. The
 /// difference keeps small changes of the demand from causing orders.
-const MAX_UTILISATION: f64 = 0.9;
+const MAX_UTILISATION: f64 = 0.6;
 /// Time over which orders are counted.
 const ORDER_WINDOW: Duration = Duration::from_mins(1);
 /// Maximum number of orders for a data centre in that time. One is kept for
