Usage: starting and finishing the appends of counts in one place

Cause: the main function had the steps of the last append. Change: usage.rs has them; no change in behaviour.

--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -109,10 +109,7 @@
     let ownership = runners.spawn(ownership::run(Arc::clone(&app)));
     let weights = tokio::spawn(weights::run(Arc::clone(&app)));
     let duties = duties::start(&app);
-    let usage = app.usage.clone().map(|usage| {
-        let appends = tokio::spawn(usage::append_counts(Arc::clone(&app), Arc::clone(&usage)));
-        (usage, appends)
-    });
+    let usage = usage::start(&app);
     ingress::wait_for_stop_signal(&app).await?;
     let deadline = Instant::now() + settings.stop_limit();
     runners.close();
@@ -127,12 +124,9 @@
     server.close(deadline).await;
     // Beyond the limit, requests of other hosts' callers are cut off too.
     let _ = timeout_at(deadline.into(), forwarded.wait()).await;
-    if let Some((usage, appends)) = usage {
-        appends.abort();
-        // Requests are answered, and counted, while the server closes.
-        if timeout_at(deadline.into(), usage::append_last(&app, &usage)).await.is_err() {
-            log::warn!(event = "cut_off", step = "usage"; "aborted at the stop limit");
-        }
+    // Requests are answered, and counted, while the server closes.
+    if let Some(appends) = usage {
+        appends.finish(&app, deadline).await;
     }
     let controllers = [(Some(ownership), "runners"), (Some(weights), "orders"), (duties, "duties")];
     for (task, step) in controllers {
--- a/crates/serve/src/usage.rs
+++ b/crates/serve/src/usage.rs
@@ -22,6 +22,9 @@
 use cassia_usage::UsageLedger;
 use cassia_usage::UsageRecord;
 use cassia_usage::WindowCounts;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
 
 use crate::accounts::Requester;
 use crate::app::App;
@@ -96,19 +99,41 @@
     }
 }
 
-/// Appends this host's counts until it is aborted.
-pub(crate) async fn append_counts(app: Arc<App>, usage: Arc<Usage>) {
-    loop {
-        append_new(&app, &usage).await;
-        tokio::time::sleep(APPEND_INTERVAL).await;
+/// Starts to append this host's counts; returns `None` if nothing is counted.
+pub(crate) fn start(app: &Arc<App>) -> Option<UsageAppends> {
+    let usage = Arc::clone(app.usage.as_ref()?);
+    let task = tokio::spawn(append_counts(Arc::clone(app), Arc::clone(&usage)));
+    Some(UsageAppends { usage, task })
+}
+
+/// The appends of this host's counts.
+#[derive(Debug)]
+pub(crate) struct UsageAppends {
+    usage: Arc<Usage>,
+    task: JoinHandle<()>,
+}
+
+impl UsageAppends {
+    /// Appends what is left in a planned stop that has answered its last request, unless
+    /// that takes until the deadline.
+    pub(crate) async fn finish(self, app: &App, deadline: Instant) {
+        self.task.abort();
+        let append = async {
+            while !append_new(app, &self.usage).await {
+                sleep(RETRY_DELAY).await;
+            }
+        };
+        if timeout_at(deadline.into(), append).await.is_err() {
+            log::warn!(event = "cut_off", step = "usage"; "aborted at the stop limit");
+        }
     }
 }
 
-/// Appends what is left in a planned stop that has answered its last request, however
-/// long that takes.
-pub(crate) async fn append_last(app: &App, usage: &Usage) {
-    while !append_new(app, usage).await {
-        tokio::time::sleep(RETRY_DELAY).await;
+/// Appends this host's counts until it is aborted.
+async fn append_counts(app: Arc<App>, usage: Arc<Usage>) {
+    loop {
+        append_new(&app, &usage).await;
+        sleep(APPEND_INTERVAL).await;
     }
 }
 
