Serve: a fair queue before each plain service, for customers' requests

Cause: with accounts, the largest customer of an overloaded service took what it asked for, and requests that were too late ran all the same.

Change: a request of a customer takes a place before its first attempt and keeps it until it is over; hedged attempts take none. Requests that have no customer (no accounts in the configuration, public routes) never enter a queue. The place is freed, or the queue left, when the request's future is dropped, as for a caller who disconnects. What can't finish by its deadline gets 503 `overloaded` with a computed Retry-After with milliseconds, plus jitter of up to the same amount.

The capacity is set at each admission, each end and each change of the targets: the slots of the usable targets, less what others use there by the last report, whose weight halves every 500 ms. A request at an avoided target keeps its place, but counts as one place more: it may hang until its deadline, and uses no slot that others wait for. If all open targets are avoided, these count, since requests go there then.

--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -231,6 +231,22 @@
         self.of_kind(kind).iter().filter(is_usable).count()
     }
 
+    /// Number of requests that this process may have at the targets of one kind so
+    /// that they don't queue there: the slots of the usable targets, less what other
+    /// processes use there by the last load reports. If no open target is usable, the
+    /// avoided ones count. A request of this process at an avoided target counts as one
+    /// more, since it may hang there and uses no slot that others wait for.
+    #[must_use]
+    pub fn available_slots(&self, kind: &TargetKind, now: Instant) -> u32 {
+        let now_ms = self.millis(now);
+        let open = || self.of_kind(kind).iter().filter(|t| t.is_open());
+        let all_avoided = open().all(|t| t.is_avoided(now_ms));
+        open().fold(0, |slots: u32, t| {
+            let is_used = all_avoided || !t.is_avoided(now_ms);
+            slots.saturating_add(if is_used { t.free_of_others(now_ms) } else { t.in_flight() })
+        })
+    }
+
     /// Number of slots of the open targets of one kind.
     #[must_use]
     pub fn open_slots(&self, kind: &TargetKind) -> u32 {
--- a/crates/route/src/target.rs
+++ b/crates/route/src/target.rs
@@ -214,6 +214,15 @@
         (own + others) / u64::from(self.info.slots.max(1))
     }
 
+    /// Number of slots that other processes don't use, by the last report, whose
+    /// weight halves as in `score`.
+    pub(crate) fn free_of_others(&self, now_ms: u64) -> u32 {
+        let age_ms = now_ms.saturating_sub(self.reported_ms.load(Ordering::Relaxed));
+        let halvings = u32::try_from(age_ms / REPORT_HALF_LIFE_MS).unwrap_or(u32::MAX);
+        let others = self.others.load(Ordering::Relaxed).checked_shr(halvings).unwrap_or(0);
+        self.info.slots.saturating_sub(others)
+    }
+
     /// Whether the target is slow and not yet due for a probe request.
     fn is_paused_as_slow(&self, now_ms: u64) -> bool {
         let due_ms = self.token_time_updated_ms.load(Ordering::Relaxed) + PROBE_SLOW_AFTER_MS;
--- a/crates/route/tests/slots.rs
+++ b/crates/route/tests/slots.rs
@@ -247,3 +247,34 @@
     let later = now + Duration::from_secs(2);
     assert_eq!(set.usable_count(&kind(), is_excluded, later), 3, "the backoff is over");
 }
+
+/// Pattern: of several targets one is avoided while requests hang there, one is used by
+/// another process, and one is closed. Places for requests must not be lost with
+/// those that hang, nor given for slots that others use.
+#[test]
+fn available_slots_are_those_that_others_leave_at_usable_targets() {
+    let now = Instant::now();
+    let set = set(now, 4);
+    assert_eq!(set.available_slots(&kind(), now), 4 * SLOTS);
+    let [hung, shared, closed, ..] = set.of_kind(&kind()) else { panic!("four targets") };
+    closed.close();
+    set.record_report(shared, 5, 5, Duration::ZERO, now);
+    let _in_flight: Vec<_> = (0..3).filter_map(|_| hung.start_request()).collect();
+    assert_eq!(set.available_slots(&kind(), now), 3 * SLOTS - 5);
+    set.record_busy(hung, now + Duration::from_millis(400));
+    assert_eq!(set.available_slots(&kind(), now), 2 * SLOTS - 5 + 3);
+    let later = now + Duration::from_millis(500);
+    assert_eq!(set.available_slots(&kind(), later), 3 * SLOTS - 2, "the report counts half");
+}
+
+/// Pattern: all targets of a service are avoided, so requests go to these; with no
+/// places none would find out that they have recovered.
+#[test]
+fn avoided_targets_count_if_there_are_no_others() {
+    let now = Instant::now();
+    let set = set(now, 2);
+    for target in set.all() {
+        set.record_failure(target, now);
+    }
+    assert_eq!(set.available_slots(&kind(), now), 2 * SLOTS);
+}
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -8,6 +8,7 @@
 use cassia_node::Metrics;
 use cassia_node::MetricsPage;
 
+use crate::admission::AdmissionControl;
 use crate::body;
 use crate::clock::BootClock;
 use crate::clock::Clock;
@@ -37,6 +38,8 @@
     pub(crate) quarantine: Quarantine,
     /// Which version of the software began which stream.
     pub(crate) streams: Streams,
+    /// Which requests run, and which wait, at the plain services.
+    pub(crate) admission: AdmissionControl,
     /// Memory used by request bodies that are not complete yet.
     pub(crate) body_budget: Arc<ByteBudget>,
     pub(crate) metrics: Metrics,
@@ -60,6 +63,7 @@
             job_log,
             quarantine: Quarantine::default(),
             streams: Streams::default(),
+            admission: AdmissionControl::default(),
             body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
             store,
             clients: TargetClients::new(response_budget, &relay),
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -155,10 +155,7 @@
     let id = &head.id;
     let job = None;
     let call = Call { app, id, route, service, outgoing, digest, job, deadline, caller_deadline };
-    let outcome = match route.kind {
-        RouteKind::Idempotent => call.run_idempotent().await,
-        _ => call.run_at_most_once().await,
-    };
+    let outcome = call.run().await;
     let (id, name) = (head.id.as_str(), route.name.as_str());
     let (took, config) = (now.elapsed(), app.state.config_version());
     let took_ms = millis(took);
@@ -237,7 +234,7 @@
 
     /// Sends the request to one target after the other, as long as the
     /// previous one certainly did not run it.
-    async fn run_at_most_once(&self) -> CallOutcome {
+    pub(crate) async fn run_at_most_once(&self) -> CallOutcome {
         let mut attempts = Attempts::default();
         while let Some(in_flight) = self.next_target(&mut attempts, 0).await {
             let outcome =
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -494,7 +494,7 @@
             deadline,
             caller_deadline: deadline,
         };
-        Some(call.run_idempotent().await)
+        Some(call.run().await)
     }
 }
 
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -1,6 +1,7 @@
 //! The program that serves callers and trainers on the platform.
 
 mod accounts;
+mod admission;
 mod answer;
 mod app;
 mod attempts;
--- a/crates/serve/src/ops.rs
+++ b/crates/serve/src/ops.rs
@@ -94,6 +94,7 @@
         "cut_off": app.relay.is_cut_off(),
         "targets": targets_json,
         "jobs": jobs,
+        "admission": app.admission.state(),
     })
 }
 
--- a/crates/serve/src/response.rs
+++ b/crates/serve/src/response.rs
@@ -44,6 +44,12 @@
     /// It is not known which version of the software began the stream that the
     /// request resumes; it did not run.
     UnknownSoftware,
+    /// The service has more requests than it can serve in time; the request did not
+    /// run.
+    Overloaded {
+        /// After which time to retry, in milliseconds.
+        retry_after_ms: u32,
+    },
     /// The store is unavailable; the request did not run.
     StoreUnavailable,
     /// The request may have run, but there is no response.
@@ -69,6 +75,7 @@
             Self::NoMemory
             | Self::NoTarget
             | Self::NotConfigured
+            | Self::Overloaded { .. }
             | Self::Quarantined
             | Self::LastTarget
             | Self::RateLimited
@@ -98,6 +105,7 @@
             Self::Quarantined => "quarantined",
             Self::LastTarget => "last_target",
             Self::RateLimited => "rate_limited",
+            Self::Overloaded { .. } => "overloaded",
             Self::StoreUnavailable => "store_away",
             Self::UnknownSoftware => "unknown_software",
             Self::OutcomeUnknown => "target_failed",
@@ -114,15 +122,20 @@
         }
     }
 
-    fn retry_after(self) -> Option<&'static str> {
-        match self {
+    fn retry_after(self) -> Option<HeaderValue> {
+        let seconds = match self {
+            Self::Overloaded { retry_after_ms } => {
+                let (seconds, millis) = (retry_after_ms / 1_000, retry_after_ms % 1_000);
+                return HeaderValue::try_from(format!("{seconds}.{millis:03}")).ok();
+            }
             Self::LastTarget | Self::NotConfigured | Self::RateLimited | Self::StoreUnavailable => {
-                Some(LONG_RETRY_AFTER)
+                LONG_RETRY_AFTER
             }
-            Self::Quarantined => Some(QUARANTINE_RETRY_AFTER),
-            Self::NoMemory | Self::NoTarget | Self::UnknownSoftware => Some(SHORT_RETRY_AFTER),
-            _ => None,
-        }
+            Self::Quarantined => QUARANTINE_RETRY_AFTER,
+            Self::NoMemory | Self::NoTarget | Self::UnknownSoftware => SHORT_RETRY_AFTER,
+            _ => return None,
+        };
+        Some(HeaderValue::from_static(seconds))
     }
 
     /// Returns whether the connection must be closed, since the rest of the
@@ -136,7 +149,7 @@
         let body = json!({"kind": self.kind(), "step": step, "ran": self.ran()}).to_string();
         let mut response = json_response(self.status(), body.into());
         if let Some(seconds) = self.retry_after() {
-            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(seconds));
+            response.headers_mut().insert(RETRY_AFTER, seconds);
         }
         if self.closes_connection() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -210,6 +210,7 @@
         let updated = app.state.targets.load().updated(&self.registry.targets(now));
         let updated = Arc::new(updated);
         app.relay.set_targets(&updated);
+        app.admission.targets_changed(&updated);
         app.state.targets.store(updated);
         app.state.heartbeats.store(Arc::new(present));
         app.state.slot_freed.notify_waiters();
