--- a/crates/explain/src/verdict.rs
+++ b/crates/explain/src/verdict.rs
@@ -80,6 +80,7 @@
         "no_target" => format!("no target would take it{}", failures(lines)),
         "deadline_passed" => format!("its time was over before an answer{}", failures(lines)),
         "target_failed" => format!("no target's answer came whole{}", failures(lines)),
+        "overloaded" => overload_reason(lines),
         "store_away" => "the store could not be asked".to_owned(),
         other => format!("it was {}", other.replace('_', " ")),
     };
@@ -92,6 +93,25 @@
     )
 }
 
+/// Says what share of the service the customer of a request had when it was refused.
+fn overload_reason(lines: &[LogLine]) -> String {
+    let Some(line) = lines.iter().rev().find(|line| line.event() == "not_admitted") else {
+        return "it could not finish by its deadline".to_owned();
+    };
+    let number = |name: &str| attribute(line, name);
+    format!(
+        "it could not finish by its deadline at {}; {} had {} running and {} waiting requests \
+         there, of {} places for {} customers, and it waited {} ms",
+        number("service"),
+        number("customer"),
+        number("running"),
+        number("waiting"),
+        number("capacity"),
+        number("customers"),
+        number("waited_ms"),
+    )
+}
+
 fn job_verdict(id: &str, submitted: &LogLine, lines: &[LogLine]) -> String {
     let first = |event: &str| lines.iter().find(|line| line.event() == event);
     let accepted = match attribute(submitted, "fate").as_str() {
--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -43,3 +43,16 @@
     assert!(explained.lines.is_empty());
     assert!(explained.verdict.contains("no line tells of it"));
 }
+
+/// Guards against an explanation of an overload that doesn't say whose share was used.
+#[test]
+fn a_request_refused_in_an_overload_names_its_customer_and_its_share() {
+    let lines = [
+        r#"{"time":"2026-03-01T10:00:00.100Z","mdc":{"host":"h1"},"attributes":{"event":"not_admitted","id":"r7","customer":"leserbild","service":"intake","capacity":18,"customers":3,"running":6,"waiting":40,"waited_ms":0,"retry_after_ms":120}}"#,
+        r#"{"time":"2026-03-01T10:00:00.101Z","mdc":{"host":"h1"},"attributes":{"event":"request_refused","id":"r7","kind":"overloaded","ran":"not_run","took_ms":1,"config":4}}"#,
+    ];
+    let verdict = cassia_explain::explain("r7", lines.into_iter()).verdict;
+    let expected =
+        "leserbild had 6 running and 40 waiting requests there, of 18 places for 3 customers";
+    assert!(verdict.contains(expected), "{verdict}");
+}
