--- a/crates/serve/src/accounts.rs
+++ b/crates/serve/src/accounts.rs
@@ -62,7 +62,6 @@
     }
 
     /// Returns the priority of its requests of a route.
-    #[expect(dead_code, reason = "admission control follows in the next changes")]
     pub(crate) fn priority(&self, table: &RouteTable, route: &Route) -> u32 {
         table.priority(route, self.customer().map(CustomerId::as_str))
     }
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -8,6 +8,7 @@
 use cassia_node::Metrics;
 use cassia_node::MetricsPage;
 
+use crate::admission::AdmissionControl;
 use crate::body;
 use crate::clock::BootClock;
 use crate::clock::Clock;
@@ -49,6 +50,8 @@
     pub(crate) streams: Streams,
     /// Reads of the configuration for requests with unknown keys.
     pub(crate) key_reads: ConfigReads,
+    /// Which requests run, and which wait, at the plain services.
+    pub(crate) admission: AdmissionControl,
     /// Memory used by request bodies that are not complete yet.
     pub(crate) body_budget: Arc<ByteBudget>,
     pub(crate) metrics: Metrics,
@@ -79,6 +82,7 @@
             quarantine: Quarantine::default(),
             streams: Streams::default(),
             key_reads: ConfigReads::default(),
+            admission: AdmissionControl::default(),
             body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
             store,
             clients: TargetClients::new(response_budget, &relay),
--- a/crates/serve/src/ops.rs
+++ b/crates/serve/src/ops.rs
@@ -98,6 +98,7 @@
         "cut_off": app.relay.is_cut_off(),
         "targets": targets_json,
         "jobs": jobs,
+        "admission": app.admission.state(),
         "duties": dump_duties(app),
     });
     if let Some(accounts) = dump_accounts(app) {
--- a/crates/trials/tests/platform_accounts.rs
+++ b/crates/trials/tests/platform_accounts.rs
@@ -327,7 +327,8 @@
     env.put_accounts(2, TRIAL_ACCOUNTS);
     let log = LogFile::new("strict");
     let flags = ["--strict-revoke=true", "--revoke-ms=2000"];
-    let process = Process::start_serve_logged("h1", env.store.addr(), &flags.map(str::to_owned), &log.0)?;
+    let process =
+        Process::start_serve_logged("h1", env.store.addr(), &flags.map(str::to_owned), &log.0)?;
     wait_until_known_key_serves(&env, &process).await?;
     for n in 0..30 {
         let id = format!("r{n}");
