Scaling: a cheaper mix is no longer undone, and moves no on-demand engines

Cause: the first spot engines of a cheaper mix were removed as soon as they served, since those of one data centre carry nothing after its loss; the others had not been ordered.

Ruled out: removing spot engines last; they would then stay after a fall of demand.

Change: all parts of the mix are ordered before the first ones serve, nothing is removed while engines start, and the mix adds spot engines only.

--- a/crates/scaling/src/autoscaler.rs
+++ b/crates/scaling/src/autoscaler.rs
@@ -374,14 +374,16 @@
 
     /// Returns an order that removes engines, if fewer cover the need.
     fn reduction(&self, now: Instant) -> Option<(CapacityOrder, Reason)> {
-        if !self.may_reduce(now) {
+        // Which engines are no longer needed is known once those that start serve: before,
+        // the first spot engines of a cheaper mix would be removed again.
+        let is_starting =
+            |state: &PoolState| state.is_expected(now) && state.serving != state.committed();
+        if !self.may_reduce(now) || self.pools.values().any(is_starting) {
             return None;
         }
         let mut infos = self.pool_infos(MAX_REDUCTIONS, now);
-        for (pool, state) in &self.pools {
-            let is_open = self.orders_of(&pool.data_centre) < MAX_REDUCTIONS;
-            let is_starting = state.is_expected(now) && state.serving != state.committed();
-            if let Some(info) = infos.get_mut(pool).filter(|_| !is_open || is_starting) {
+        for (pool, info) in &mut infos {
+            if self.orders_of(&pool.data_centre) >= MAX_REDUCTIONS {
                 info.busy = u32::MAX;
             }
         }
@@ -403,7 +405,7 @@
     /// Returns an order that adds engines to a cheaper mix. Those that it makes
     /// unnecessary are removed once the new ones serve.
     fn cheaper_mix(&self, now: Instant) -> Option<(CapacityOrder, Reason)> {
-        if !self.may_reduce(now) || self.pools.values().any(|state| state.is_expected(now)) {
+        if !self.may_reduce(now) {
             return None;
         }
         let mut infos = self.pool_infos(MAX_REDUCTIONS, now);
@@ -421,7 +423,9 @@
             return None;
         }
         let mut grown = counts.clone();
-        for (pool, count) in ideal {
+        // On-demand engines are not moved between data centres: that saves less than it
+        // costs in engines that start and stop.
+        for (pool, count) in ideal.into_iter().filter(|(pool, _)| pool.spot) {
             let own = counts.get(&pool).copied().unwrap_or(0);
             let other = Pool { spot: !pool.spot, ..pool.clone() };
             let other = counts.get(&other).copied().unwrap_or(0);
