--- a/crates/contract/src/account.rs
+++ b/crates/contract/src/account.rs
@@ -1,5 +1,5 @@
-//! What identifies a customer and ranks its requests, without the rest of a
-//! contract.
+//! Accounts: the keys that identify a customer's callers, and the customer's own
+//! priority and rate.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -40,8 +40,8 @@
     /// Priority of its requests, where 0 is the most urgent; `None` for that of
     /// the route.
     pub priority: Option<u32>,
-    /// Requests a second that all hosts together accept from it; `None` for no
-    /// limit.
+    /// Requests a second that the customer is entitled to; `None` for no limit. Hosts
+    /// don't enforce it yet.
     pub rate_per_second: Option<f64>,
 }
 
@@ -69,8 +69,8 @@
 
     /// Returns the account that holds a key.
     ///
-    /// Keys are looked up and compared by their digests, so the time that it takes
-    /// tells nothing about the keys that there are.
+    /// Keys are looked up by their digests, and digests compared in constant time, so
+    /// the time that it takes tells nothing about the keys that there are.
     #[must_use]
     pub fn find(&self, key: &str) -> Option<&Arc<Account>> {
         let digest = KeyDigest::of(key);
--- a/crates/scaling/src/autoscaler.rs
+++ b/crates/scaling/src/autoscaler.rs
@@ -35,19 +35,19 @@
 const MAX_UTILISATION: f64 = 0.6;
 /// Time over which orders are counted.
 const ORDER_WINDOW: Duration = Duration::from_mins(1);
-/// Maximum number of orders for a data centre in that time. One is kept for
-/// the replacement of lost engines and one for growth after a reduction.
+/// Maximum number of orders for a data centre in that time.
 const MAX_ORDERS: usize = 4;
+/// The same for growth: one order is kept for the replacement of lost engines.
 const MAX_GROWTH_ORDERS: usize = MAX_ORDERS - 1;
+/// The same for reductions: one more is kept for growth after a reduction.
 const MAX_REDUCTIONS: usize = MAX_ORDERS - 2;
-/// Additional growth for each order that a data centre had in the last minute, as a
-/// part of the need:
-/// demand that rises in steps would use up the orders of the minute.
+/// Growth beyond the need, as a part of it, for each order of the last minute: demand
+/// that rises in steps would otherwise use up the orders of a minute.
 const GROWTH_PER_ORDER: f64 = 0.25;
 /// How long the engines are known before there may be fewer of them.
-const MIN_KNOWLEDGE: Duration = Duration::from_secs(20);
+const MIN_OBSERVATION_TIME: Duration = Duration::from_secs(20);
 /// The same if no job was submitted in that time.
-const MIN_IDLE_KNOWLEDGE: Duration = Duration::from_mins(1);
+const MIN_IDLE_OBSERVATION_TIME: Duration = Duration::from_mins(1);
 /// First and maximum delay after a refusal.
 const FIRST_BACKOFF: Duration = Duration::from_secs(1);
 const MAX_BACKOFF: Duration = Duration::from_secs(16);
@@ -367,7 +367,7 @@
     /// Whether the demand is known well enough to remove engines.
     fn may_reduce(&self, now: Instant) -> bool {
         let idle = self.submissions.is_empty();
-        let least = if idle { MIN_IDLE_KNOWLEDGE } else { MIN_KNOWLEDGE };
+        let least = if idle { MIN_IDLE_OBSERVATION_TIME } else { MIN_OBSERVATION_TIME };
         let least = least.max(self.hold_time(now)).max(self.boot_time());
         self.first_seen.is_some_and(|at| now >= at + least) && !self.is_replacing(now)
     }
@@ -423,8 +423,8 @@
             return None;
         }
         let mut grown = counts.clone();
-        // On-demand engines are not moved between data centres: that saves less than it
-        // costs in engines that start and stop.
+        // On-demand engines are not moved between data centres: each move stops an engine
+        // that has weights and starts one that has none.
         for (pool, count) in ideal.into_iter().filter(|(pool, _)| pool.spot) {
             let own = counts.get(&pool).copied().unwrap_or(0);
             let other = Pool { spot: !pool.spot, ..pool.clone() };
--- a/crates/scaling/src/history.rs
+++ b/crates/scaling/src/history.rs
@@ -1,4 +1,4 @@
-//! The maximum of the demand over the last time.
+//! The maximum of the demand over a recent period.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 /// Minimum time between two entries, which bounds the memory.
 const RESOLUTION: Duration = Duration::from_millis(500);
 
-/// Maxima of a value over the last time; each entry is greater than all later
+/// Maxima of a value over a recent period; each entry is greater than all later
 /// ones.
 #[derive(Debug, Default)]
 pub(crate) struct MaxHistory {
--- a/crates/scaling/src/ledger.rs
+++ b/crates/scaling/src/ledger.rs
@@ -7,7 +7,7 @@
 use prost::Message;
 
 /// What is known of an order's outcome.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, prost::Enumeration)]
+#[derive(Clone, Copy, Debug, prost::Enumeration, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[repr(i32)]
 pub enum OrderState {
     /// It is about to be sent, or its answer was lost.
--- a/crates/scaling/src/pool.rs
+++ b/crates/scaling/src/pool.rs
@@ -64,7 +64,8 @@
             self.observe_spot(serving, was_lost && leaving > self.leaving, now);
         } else if self.ordered.is_none_or(|o| serving > o.count && now >= o.expected_until) {
             // On-demand engines that restart come back: a lower order would remove
-            // others. Those that the platform did not reduce count.
+            // others. Without an order, engines that are leaving count too, since they
+            // will be replaced.
             let count = serving + if self.ordered.is_none() { leaving } else { 0 };
             self.ordered = Some(Ordered { count, expected_until: now });
         }
--- a/crates/serve/src/accounts.rs
+++ b/crates/serve/src/accounts.rs
@@ -24,7 +24,8 @@
     Public,
     /// A caller with a key of this customer.
     Caller(CustomerId),
-    /// A batch job of this customer, whose reward calls need no key.
+    /// A batch job of this customer. Its reward calls name no customer to the target, and
+    /// use the customer's share.
     Job(CustomerId),
 }
 
@@ -55,8 +56,8 @@
         }
     }
 
-    /// Returns whether a job of this customer is shown to whoever asks; an empty name
-    /// stands for no customer. Without accounts, every job is.
+    /// Returns whether the requester may see a job of this customer; an empty name stands
+    /// for no customer. Without accounts, everybody may see every job.
     pub(crate) fn owns(&self, customer: &str) -> bool {
         *self == Self::Unidentified || self.customer().is_some_and(|own| own == customer)
     }
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -62,7 +62,7 @@
 
 /// Whose place it is, at the targets of which service.
 #[derive(Clone, Debug)]
-struct Holder {
+struct PlaceOwner {
     service: SmolStr,
     customer: CustomerId,
     class: RequestClass,
@@ -85,7 +85,7 @@
 #[derive(Debug)]
 pub(crate) struct Place<'a> {
     app: &'a App,
-    holder: Holder,
+    owner: PlaceOwner,
     since: Instant,
     /// Whether the request ended, so that its time says how long requests take.
     is_measured: bool,
@@ -95,7 +95,7 @@
 #[derive(Debug)]
 struct Waiting<'a> {
     app: &'a App,
-    holder: Holder,
+    owner: PlaceOwner,
     waiter: WaiterId,
     answer: oneshot::Receiver<Answer>,
     is_answered: bool,
@@ -138,27 +138,27 @@
         };
         let priority = self.priority();
         let ask = Ask { customer: customer.clone(), class, priority, deadline: self.deadline };
-        let holder = Holder { service: self.service.clone(), customer, class };
+        let owner = PlaceOwner { service: self.service.clone(), customer, class };
         let asked_at = Instant::now();
-        let answer = match self.app.admission.ask(self.app, &holder, &ask, asked_at) {
+        let answer = match self.app.admission.ask(self.app, &owner, &ask, asked_at) {
             Ok(waiting) => wait(waiting, self.deadline).await,
             Err(answer) => answer,
         };
-        let (id, customer) = (self.id.as_str(), holder.customer.as_str());
+        let (id, customer) = (self.id.as_str(), owner.customer.as_str());
         let waited_ms = millis(asked_at.elapsed());
         match answer {
             Answer::Run => {
                 if waited_ms > 0 {
-                    log::info!(event = "admitted", step = "admit", id, customer, waited_ms; "waited for a slot");
+                    log::info!(event = "admitted", step = "admit", id, customer, waited_ms; "waited for a place");
                 }
-                Ok(Some(Place::new(self.app, holder)))
+                Ok(Some(Place::new(self.app, owner)))
             }
             Answer::Refused { retry_at } => {
                 let retry_after_ms =
                     with_jitter(retry_at.saturating_duration_since(Instant::now()));
-                let service = holder.service.as_str();
+                let service = owner.service.as_str();
                 let QueueLoad { capacity, customers, running, waiting } =
-                    self.app.admission.load_of(&holder);
+                    self.app.admission.load_of(&owner);
                 log::info!(event = "not_admitted", step = "admit", id, customer, service, capacity, customers, running, waiting, waited_ms, retry_after_ms; "it can't finish by its deadline");
                 Err(Refusal::Overloaded { retry_after_ms })
             }
@@ -172,7 +172,7 @@
     fn ask<'a>(
         &self,
         app: &'a App,
-        holder: &Holder,
+        owner: &PlaceOwner,
         ask: &Ask,
         now: Instant,
     ) -> Result<Waiting<'a>, Answer> {
@@ -180,20 +180,20 @@
         let mut queues = lock(&self.queues);
         let elsewhere: usize = queues
             .iter()
-            .filter(|(service, _)| **service != holder.service)
+            .filter(|(service, _)| **service != owner.service)
             .map(|(_, other)| other.queue.waiting())
             .sum();
-        let service = queues.entry(holder.service.clone()).or_insert_with(ServiceQueue::new);
+        let service = queues.entry(owner.service.clone()).or_insert_with(ServiceQueue::new);
         service.queue.set_waiting_limit(MAX_WAITING.saturating_sub(elsewhere));
-        service.set_capacity(&targets, &holder.service, now);
+        service.set_capacity(&targets, &owner.service, now);
         let result = match service.queue.admit(ask, now) {
             Admission::Run => Err(Answer::Run),
             Admission::Refused { retry_at } => Err(Answer::Refused { retry_at }),
             Admission::Wait(waiter) => {
                 let (sender, answer) = oneshot::channel();
                 service.waiters.insert(waiter, sender);
-                let holder = holder.clone();
-                Ok(Waiting { app, holder, waiter, answer, is_answered: false })
+                let owner = owner.clone();
+                Ok(Waiting { app, owner, waiter, answer, is_answered: false })
             }
         };
         service.take_turns(now);
@@ -227,12 +227,12 @@
     }
 
     /// Returns what a customer has of a queue.
-    fn load_of(&self, holder: &Holder) -> QueueLoad {
+    fn load_of(&self, owner: &PlaceOwner) -> QueueLoad {
         let queues = lock(&self.queues);
-        let Some(ServiceQueue { queue, .. }) = queues.get(&holder.service) else {
+        let Some(ServiceQueue { queue, .. }) = queues.get(&owner.service) else {
             return QueueLoad::default();
         };
-        let own = queue.customer(&holder.customer);
+        let own = queue.customer(&owner.customer);
         QueueLoad {
             capacity: queue.capacity(),
             customers: queue.customer_count(),
@@ -274,15 +274,15 @@
 }
 
 impl<'a> Place<'a> {
-    fn new(app: &'a App, holder: Holder) -> Self {
-        Self { app, holder, since: Instant::now(), is_measured: false }
+    fn new(app: &'a App, owner: PlaceOwner) -> Self {
+        Self { app, owner, since: Instant::now(), is_measured: false }
     }
 }
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
         let ran_for = self.is_measured.then(|| self.since.elapsed());
-        let Holder { service, customer, class } = &self.holder;
+        let PlaceOwner { service, customer, class } = &self.owner;
         self.app.admission.update(self.app, service, |queue| {
             queue.queue.finish(customer, *class, ran_for);
         });
@@ -294,7 +294,7 @@
         if self.is_answered {
             return;
         }
-        let Holder { service, customer, class } = &self.holder;
+        let PlaceOwner { service, customer, class } = &self.owner;
         let (waiter, answer) = (self.waiter, &mut self.answer);
         self.app.admission.update(self.app, service, |queue| {
             queue.waiters.remove(&waiter);
@@ -308,8 +308,8 @@
 
 /// Waits until the request may run, or can't finish by its deadline any more.
 async fn wait(mut waiting: Waiting<'_>, deadline: Instant) -> Answer {
-    let (app, class) = (waiting.app, waiting.holder.class);
-    let service = waiting.holder.service.clone();
+    let (app, class) = (waiting.app, waiting.owner.class);
+    let service = waiting.owner.service.clone();
     let mut expires_at = Instant::now();
     loop {
         let latest = |queue: &mut ServiceQueue| queue.queue.latest_start(class, deadline);
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -56,6 +56,7 @@
 use crate::target_clients::Repeats;
 use crate::target_clients::Sender;
 use crate::target_clients::TargetAttempt;
+use crate::unanswered::UnansweredGuard;
 use crate::usage;
 
 /// A second target is tried if the first one has not answered after this
@@ -135,7 +136,7 @@
     pub(crate) digest: Option<RequestDigest>,
     /// The job that makes the call; `None` for callers' requests.
     pub(crate) job: Option<&'a JobRequests>,
-    /// Whether the use of a target is counted, which happens once.
+    /// Whether the request was counted as use, which happens once.
     pub(crate) is_counted: AtomicBool,
     pub(crate) deadline: Instant,
     /// Until when the caller waits; not before `deadline`.
@@ -486,36 +487,6 @@
     log::info!(event = "attempt", step = "choose", id, peer, software, attempt, own, others, age_ms, limit; "sent");
 }
 
-/// A request that a target has not answered yet. If it is dropped after the
-/// time in which other targets answer, the target is recorded as not
-/// answering.
-#[derive(Debug)]
-struct UnansweredGuard<'a> {
-    app: &'a App,
-    in_flight: &'a InFlight,
-    late_at: Instant,
-    is_answered: bool,
-}
-
-impl<'a> UnansweredGuard<'a> {
-    fn new(app: &'a App, in_flight: &'a InFlight, expected: Duration) -> Self {
-        Self { app, in_flight, late_at: Instant::now() + expected, is_answered: false }
-    }
-
-    fn mark_answered(&mut self) {
-        self.is_answered = true;
-    }
-}
-
-impl Drop for UnansweredGuard<'_> {
-    fn drop(&mut self) {
-        let now = Instant::now();
-        if !self.is_answered && now >= self.late_at {
-            self.app.state.targets.load().record_unanswered(self.in_flight.target(), now);
-        }
-    }
-}
-
 pub(crate) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -20,6 +20,7 @@
 use crate::app::App;
 use crate::keyed_reader::KeyedRead;
 use crate::keyed_reader::KeyedReader;
+use crate::state::lock;
 
 /// How long the store may hold a read back until there are records. Short, so
 /// that a dead connection is detected within the time in which a change must
@@ -50,8 +51,11 @@
         };
         match read {
             Ok(read) => {
-                read.into_records().iter().for_each(|record| apply(&app, record));
-                accounts::record_read(&app, began);
+                let at_end = shows_all(&read);
+                apply_all(&app, &read.into_records());
+                if at_end {
+                    accounts::record_read(&app, began);
+                }
                 app.key_reads.set_position(reader);
                 backoff.record_success();
                 if std::mem::take(&mut store_failed) {
@@ -84,9 +88,8 @@
     loop {
         let before = position.next();
         let read = position.read(app.store.as_ref(), Duration::ZERO, READ_TIMEOUT).await?;
-        // A read of changes is limited in size, so only an empty one is the last.
-        let at_end = matches!(read, KeyedRead::Snapshot(_)) || position.next() == before;
-        read.into_records().iter().for_each(|record| apply(app, record));
+        let at_end = shows_all(&read) || position.next() == before;
+        apply_all(app, &read.into_records());
         if at_end {
             accounts::record_read(app, began);
             return Ok(());
@@ -94,14 +97,34 @@
     }
 }
 
+/// Returns whether a read shows all records: one of changes is limited in size, so only
+/// an empty one is the last.
+fn shows_all(read: &KeyedRead) -> bool {
+    match read {
+        KeyedRead::Snapshot(_) => true,
+        KeyedRead::Changes(records) => records.is_empty(),
+    }
+}
+
+/// Applies records. The controller and reads for unknown keys may do so at the same time;
+/// without the lock, the older of two configurations could be installed last.
+fn apply_all(app: &App, records: &[KeyedRecord]) {
+    let _guard = lock(&app.state.config_writes);
+    for record in records {
+        apply(app, record);
+    }
+}
+
 fn apply(app: &App, record: &KeyedRecord) {
     match decode_operator_record(record) {
         Ok(OperatorRecord::Config(table)) => install(app, table),
         Ok(OperatorRecord::Version { model, version }) => set_wanted(app, &model, version),
         Ok(OperatorRecord::Other) => {}
         Err(e) => {
-            let key = record.key.as_str();
-            log::warn!(event = "record_unreadable", step = "configuration", key; "{e}");
+            // The error's own text may quote a part of the record, such as a caller's key.
+            let (key, line, column) = (record.key.as_str(), e.line(), e.column());
+            let kind = format!("{:?}", e.classify());
+            log::warn!(event = "record_unreadable", step = "configuration", key, kind, line, column; "can't be decoded");
         }
     }
 }
--- a/crates/serve/src/duties.rs
+++ b/crates/serve/src/duties.rs
@@ -142,10 +142,13 @@
         held.filter(|held| held.fence == fence)?.until.checked_sub(CALL_TIMEOUT)
     }
 
-    /// Records that a call is sent now; returns `false` if too many were.
-    fn record_sent(&self, now: Instant) -> bool {
+    /// Records that a call is sent now under a fencing token of the lease; returns
+    /// `false` if it must not be, or if too many were. The lease is not handed over
+    /// between the check and the record, so the next holder waits for this call.
+    fn record_sent(&self, fence: Fence, now: Instant) -> bool {
         let mut calls = lock(&self.calls);
-        let may_send = calls.rate.take(now);
+        let is_held = self.send_until(fence).is_some_and(|until| now < until);
+        let may_send = is_held && calls.rate.take(now);
         if may_send {
             calls.last_arrival = calls.last_arrival.max(Some(now + CALL_TIMEOUT));
         }
@@ -192,8 +195,7 @@
         call: impl Future<Output = Result<T, PlatformApiError>>,
     ) -> Result<T, CallFailure> {
         let sent_at = app.clock.now();
-        let may_send = context.send_until(self.fence).is_some_and(|until| sent_at < until);
-        if !may_send || !context.record_sent(sent_at) {
+        if !context.record_sent(self.fence, sent_at) {
             return Err(CallFailure::NotSent);
         }
         app.metrics.count("duty.calls", "all");
@@ -281,19 +283,23 @@
 /// Hands the lease over. Another host may act once `lease_ms` have passed since
 /// the last call can have arrived.
 async fn hand_over(app: &App, context: &DutyContext, lease: &mut LeaseStream) {
-    update_held(context, None);
-    let last_arrival = lock(&context.calls).last_arrival;
+    let last_arrival = update_held(context, None);
     let min_interval = Duration::from_millis(app.settings.lease_ms);
     lease.hand_over(app, last_arrival.map(|arrival| arrival + min_interval)).await;
 }
 
-fn update_held(context: &DutyContext, held: Option<HeldLease>) {
+/// Sets the lease as calls see it; returns until when the last call may arrive.
+fn update_held(context: &DutyContext, held: Option<HeldLease>) -> Option<Instant> {
+    let mut calls = lock(&context.calls);
     let before = context.held_fence();
     context.held.send_replace(held);
     let fence = context.held_fence();
     if fence != before {
+        // Failures under another token say nothing about this one.
+        calls.failing_since = None;
         log::info!(event = "duty_lease", step = "lease", fence; "lease acquired or lost");
     }
+    calls.last_arrival
 }
 
 /// Performs one duty.
--- a/crates/serve/src/flags.rs
+++ b/crates/serve/src/flags.rs
@@ -73,7 +73,7 @@
     /// Whether keys are refused while the configuration can't be read: true or false
     #[bpaf(long, env("CASSIA_STRICT_REVOKE"), argument("BOOL"))]
     strict_revoke: Option<String>,
-    /// How long after the last read of the configuration that begins, in milliseconds
+    /// Age of the last read of the configuration from which on strict revocation refuses keys, in milliseconds
     #[bpaf(long, env("CASSIA_REVOKE_MS"), argument("MS"))]
     revoke_ms: Option<String>,
     /// Maximum size of all responses of targets and the store that are being read, in kilobytes
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -19,6 +19,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::AUTHORIZATION;
 use http::request::Parts;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -300,7 +301,11 @@
     refusal.response("route")
 }
 
-fn outgoing_request(parts: Parts, body: Bytes, requester: Requester) -> call::OutgoingRequest {
+fn outgoing_request(mut parts: Parts, body: Bytes, requester: Requester) -> call::OutgoingRequest {
+    // A key must not appear where the headers are printed.
+    if let Some(key) = parts.headers.get_mut(AUTHORIZATION) {
+        key.set_sensitive(true);
+    }
     call::OutgoingRequest {
         method: parts.method,
         uri: parts.uri,
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -50,6 +50,7 @@
 mod target_clients;
 mod targets;
 mod token_time;
+mod unanswered;
 mod usage;
 mod weights;
 
--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -148,8 +148,8 @@
     let _ = owned.wait_for(|owned| !owned.contains(&partition)).await;
 }
 
-/// Aborts the runs of jobs that are no longer open, or whose items must not run, with their requests at
-/// engines.
+/// Aborts the runs of jobs that are no longer open, or whose items must not run, with
+/// their requests at engines.
 fn abort_ended_jobs(app: &App, partition: u32, jobs: &mut HashMap<JobId, RunningJob>) {
     let table = app.job_log.table(partition);
     jobs.retain(|id, running| {
@@ -199,9 +199,7 @@
         match app.job_log.submission(partition, (&job).into(), deadline).await {
             Ok(submission) => {
                 log_job_started(app, &submission, &job);
-                if let Some(table) = app.state.routes.load().as_deref() {
-                    app.demand.record_job(table, partition, &submission);
-                }
+                record_demand(app, partition, &submission);
                 let progress = app.job_log.progress(partition, &job, deadline).await;
                 let (app, tx) = (Arc::clone(app), tx.clone());
                 let run = JobRun::new(app, partition, submission, &job, progress, tx);
@@ -215,6 +213,15 @@
     }
 }
 
+/// Records what a job needs, where hosts report it: there old jobs are removed, too.
+fn record_demand(app: &App, partition: u32, submission: &Submission) {
+    let scales = app.settings.duties.as_ref().is_some_and(|duties| duties.scales);
+    let table = app.state.routes.load();
+    if let Some(table) = table.as_deref().filter(|_| scales) {
+        app.demand.record_job(table, partition, submission);
+    }
+}
+
 fn log_job_started(app: &App, submission: &Submission, job: &Job) {
     let (id, model, groups_wanted) =
         (submission.id.as_str(), submission.model.as_str(), submission.groups_wanted);
--- a/crates/serve/src/scaling.rs
+++ b/crates/serve/src/scaling.rs
@@ -97,8 +97,15 @@
             self.fence = Some(turn.holder.fence);
         }
         self.record_answer(app).await?;
-        if self.ledger.unanswered().is_some() {
-            return Ok(self.send(app, turn).await);
+        if let Some(record) = self.ledger.unanswered() {
+            if table.scaling.contains_key(record.service.as_str()) {
+                return Ok(self.send(app, turn).await);
+            }
+            // The service is no longer scaled, so its last order is not repeated.
+            let (number, order) = (record.number, record.order());
+            let fence = turn.holder.fence;
+            self.answer = Some(ScalingRecord::new(number, &order, OrderState::Refused, fence));
+            self.record_answer(app).await?;
         }
         let now = Instant::now();
         if self.read_at.is_none_or(|at| now >= at + READ_INTERVAL) {
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -53,6 +53,8 @@
     pub(crate) boot: BootId,
     /// The configuration in force; `None` until one has been read.
     pub(crate) routes: ArcSwapOption<RouteTable>,
+    /// Held while records of the configuration are applied.
+    pub(crate) config_writes: Mutex<()>,
     /// When the last read that showed all of the configuration began.
     pub(crate) config_read_at: ArcSwapOption<Instant>,
     /// The wanted versions, as set by the trainers.
@@ -85,6 +87,7 @@
             data_centre: settings.data_centre.clone(),
             boot: rand::random(),
             routes: ArcSwapOption::empty(),
+            config_writes: Mutex::default(),
             config_read_at: ArcSwapOption::empty(),
             wanted: ArcSwap::default(),
             targets: ArcSwap::from_pointee(TargetSet::empty(Instant::now())),
--- a/crates/trials/tests/platform_usage.rs
+++ b/crates/trials/tests/platform_usage.rs
@@ -120,16 +120,17 @@
 #[tokio::test]
 async fn a_planned_stop_loses_no_counts() -> anyhow::Result<()> {
     let mut trial = UsageTrial::start(3).await?;
-    trial
-        .env
-        .add_target(TargetSpec {
-            id: "slow".to_owned(),
+    // With fewer slots, admission control refuses requests that can't finish in time.
+    for n in 0..3 {
+        let spec = TargetSpec {
+            id: format!("slow{n}"),
             service: "slow".to_owned(),
             model: None,
             events: 0,
             delay: SLOW_REQUEST,
-        })
-        .await?;
+        };
+        trial.env.add_target(spec).await?;
+    }
     let mut config = platform_config(3, true);
     config["tenants"] = json!([
         {"name": "leserbild", "api_keys": ["k1"]}, {"name": "hule930", "api_keys": ["k2"]}]);
--- a/crates/usage/src/ledger.rs
+++ b/crates/usage/src/ledger.rs
@@ -56,7 +56,7 @@
 /// The effect of a record, as far as it is worth a log line.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Applied {
-    /// It is one of many.
+    /// Nothing that is worth a line.
     AsExpected,
     /// It is the first decision of a window.
     Decided {
