Accounts: the comparison in constant time beside its use; no new libraries below the review

Cause: the cases in review/ are built with their lock file as it is, and the crates that they use had taken two more libraries (subtle, futures).

Ruled out: a changed lock file; review/ stays as it is.

Change: cassia-serve compares the digests in constant time, all keys of the account that was found; the trial of a planned stop starts its requests on tokio alone.

--- a/crates/contract/src/account.rs
+++ b/crates/contract/src/account.rs
@@ -9,7 +9,6 @@
 use cassia_ids::CustomerId;
 use sha2::Digest;
 use sha2::Sha256;
-use subtle::ConstantTimeEq;
 
 /// SHA-256 of an API key.
 #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -21,6 +20,12 @@
     pub fn of(key: &str) -> Self {
         Self(Sha256::digest(key.as_bytes()).into())
     }
+
+    /// Returns the digest's bytes, to be compared in constant time.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
 }
 
 /// Prints nothing of the key.
@@ -69,13 +74,11 @@
 
     /// Returns the account that holds a key.
     ///
-    /// Keys are looked up by their digests, and digests compared in constant time, so
-    /// the time that it takes tells nothing about the keys that there are.
+    /// Keys are looked up by their digests, so the time that it takes tells nothing
+    /// about the keys that there are.
     #[must_use]
     pub fn find(&self, key: &str) -> Option<&Arc<Account>> {
-        let digest = KeyDigest::of(key);
-        let (known, account) = self.by_key.get_key_value(&digest)?;
-        bool::from(known.0.ct_eq(&digest.0)).then_some(account)
+        self.by_key.get(&KeyDigest::of(key))
     }
 
     /// Returns a customer's account.
--- a/crates/serve/src/accounts.rs
+++ b/crates/serve/src/accounts.rs
@@ -6,10 +6,14 @@
 
 use cassia_adapter::ApiKey;
 use cassia_adapter::CustomerHeader;
+use cassia_contract::Account;
+use cassia_contract::KeyDigest;
 use cassia_ids::CustomerId;
 use cassia_route::Route;
 use cassia_route::RouteKind;
 use cassia_route::RouteTable;
+use subtle::Choice;
+use subtle::ConstantTimeEq;
 
 use crate::app::App;
 use crate::response::Refusal;
@@ -130,7 +134,15 @@
     let Some(accounts) = &table.accounts else {
         return Some(Requester::Unidentified);
     };
-    accounts.find(key.as_str()).map(|account| Requester::Caller(account.customer.clone()))
+    let account = accounts.find(key.as_str()).filter(|account| has_key(account, key))?;
+    Some(Requester::Caller(account.customer.clone()))
+}
+
+/// Returns whether an account has a key. All its keys are compared, in constant time.
+fn has_key(account: &Account, key: &ApiKey) -> bool {
+    let digest = KeyDigest::of(key.as_str());
+    let compared = account.keys.iter().map(|known| known.as_bytes().ct_eq(digest.as_bytes()));
+    compared.fold(Choice::from(0), |found, same| found | same).into()
 }
 
 /// Returns whether the configuration is too old to know which keys were removed.
--- a/crates/trials/src/usage_trial.rs
+++ b/crates/trials/src/usage_trial.rs
@@ -8,11 +8,13 @@
 
 use bytes::Bytes;
 use cassia_standin::PlatformApiStandin;
-use futures::future::join_all;
 use serde_json::Value;
 use serde_json::json;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use crate::Connections;
+use crate::PlatformClient;
 use crate::PlatformEnv;
 use crate::Process;
 use crate::eventually;
@@ -106,22 +108,23 @@
         path: &str,
         count: u64,
     ) -> anyhow::Result<()> {
-        let (env, process) = (&self.env, self.process(host)?);
-        let listen = process.listen;
-        let stop = async {
-            sleep(STOP_DELAY).await;
-            process.terminate();
-        };
-        let send = |n| async move {
-            let id = format!("stop-{host}-{n}");
-            let headers = [
-                ("attempt-id", id.as_str()),
-                ("deadline-ms", "3000"),
-                ("authorization", "Token k1"),
-            ];
-            env.send("POST", listen, path, &headers, "ask").await.status
-        };
-        let (statuses, ()) = tokio::join!(join_all((0..count).map(send)), stop);
+        let process = self.process(host)?;
+        let mut requests = JoinSet::new();
+        for n in 0..count {
+            let (client, listen) = (PlatformClient::new(Connections::PerRequest), process.listen);
+            let (id, path) = (format!("stop-{host}-{n}"), path.to_owned());
+            requests.spawn(async move {
+                let headers = [
+                    ("attempt-id", id.as_str()),
+                    ("deadline-ms", "3000"),
+                    ("authorization", "Token k1"),
+                ];
+                client.send("POST", listen, &path, &headers, "ask").await.status
+            });
+        }
+        sleep(STOP_DELAY).await;
+        process.terminate();
+        let statuses = requests.join_all().await;
         anyhow::ensure!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
         *self.sent.entry("leserbild".to_owned()).or_default() += count;
         Ok(())
