--- a/review/standins-2/src/host.rs
+++ b/review/standins-2/src/host.rs
@@ -126,6 +126,9 @@
             "--lease-ms=3000".to_owned(),
             "--platform-api=".to_owned(),
             "--duties=".to_owned(),
+            "--duty-calls-per-s=".to_owned(),
+            "--usage-window-s=".to_owned(),
+            "--usage-late-s=".to_owned(),
             "--strict-revoke=".to_owned(),
             "--revoke-ms=".to_owned(),
         ])
