--- a/review/standins-2/src/stop.rs
+++ b/review/standins-2/src/stop.rs
@@ -36,11 +36,12 @@
 /// Time between two short requests on a connection.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 /// When the clients send the request that takes long.
-const LONG_REQUEST_AT: Duration = Duration::from_millis(3_600);
+const LONG_REQUEST_AT: Duration = Duration::from_millis(3_300);
 /// A short request: 20 ms of work.
-const SHORT: &str = "w20";
-/// A long one: a stream of 17 events, 250 ms apart.
-const LONG: &str = "e17x250";
+const SHORT: &str = "/once/w20/a";
+/// Long ones, by turns: a stream of 17 events, 250 ms apart, and a plain request that may
+/// not be repeated.
+const LONG: [&str; 2] = ["/stream/e17x250/a", "/once/w4250/a"];
 const DEADLINE: Duration = Duration::from_secs(10);
 /// The rule leaves out requests that were sent no later than this after the SIGTERM, if
 /// their engine is at work in the last sixth of the grace period.
@@ -57,14 +58,18 @@
 /// Runs the case.
 pub async fn run(path: &str, has_trouble: bool) -> io::Result<Verdict> {
     let record = Record::create(path)?;
-    let routes = vec![env::route("stream", "stream", "lm", 10_000)];
+    let routes = vec![
+        env::route("stream", "stream", "lm", 10_000),
+        env::route("once", "non_idempotent", "intake", 10_000),
+    ];
     let store = env::start_store(&env::config(1, routes)).await?;
     let mut engines = Vec::new();
     for n in 0..3 {
-        let id = format!("e{n}");
-        let store = Arc::clone(&store);
-        let record = record.clone();
-        engines.push(Target::start(&id, "lm", Some(env::MODEL), 8, store, record).await?);
+        let (engine, service) = (format!("e{n}"), format!("s{n}"));
+        let model = Some(env::MODEL);
+        let (first, second) = (Arc::clone(&store), Arc::clone(&store));
+        engines.push(Target::start(&engine, "lm", model, 8, first, record.clone()).await?);
+        engines.push(Target::start(&service, "intake", None, 6, second, record.clone()).await?);
     }
     let mut host = Host::start("front-z1-1", "z1", store.addr()).await?;
     let other = Host::start("front-z1-2", "z1", store.addr()).await?;
@@ -166,9 +171,8 @@
             let sent_at = started.elapsed();
             let is_long = sent_at >= LONG_REQUEST_AT;
             let id = format!("c{}r{k}", self.n);
-            let word = if is_long { LONG } else { "e1x20" };
-            let path = format!("/stream/{word}/{SHORT}");
-            let request = Request::new("POST", &path, &id, DEADLINE).with_body(b"ask".to_vec());
+            let path = if is_long { LONG[self.n % LONG.len()] } else { SHORT };
+            let request = Request::new("POST", path, &id, DEADLINE).with_body(b"ask".to_vec());
             match connection.send(&request).await {
                 Ok(response) => {
                     let status = response.status;
