--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 //! stand-ins, brings about one disruption and checks one rule.
 
 mod client;
+mod deadly;
 mod env;
 mod host;
 mod record;
@@ -36,6 +37,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = async {
         match case.as_str() {
+            "deadly" => deadly::run(record, has_trouble).await,
             "memory" => memory::run(record, has_trouble).await,
             "stop" => stop::run(record, has_trouble).await,
             other => Err(std::io::Error::other(format!("no case {other}"))),
