--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod deadly;
 mod env;
 mod host;
+mod late;
 mod record;
 mod target;
 
--- a/review/standins-2/src/stop.rs
+++ b/review/standins-2/src/stop.rs
@@ -18,6 +18,7 @@
 use crate::client::Request;
 use crate::env;
 use crate::host::Host;
+use crate::late;
 use crate::record::Record;
 use crate::target::RunEnd;
 use crate::target::Target;
@@ -49,10 +50,11 @@
 
 /// A request whose connection ended without a complete answer.
 #[derive(Debug)]
-struct Cut {
-    id: String,
-    sent_at: Duration,
-    cut_at: Duration,
+pub struct Cut {
+    pub id: String,
+    /// Since the SIGTERM of the host that took it.
+    pub sent_at: Duration,
+    pub cut_at: Duration,
 }
 
 /// Runs the case.
@@ -95,11 +97,14 @@
         host.kill();
     }
     balancer.abort();
-    Ok(judge(&record, &engines, &cuts, has_trouble))
+    let broken = count_broken(&record, &engines, &cuts, has_trouble);
+    drop((host, other, engines));
+    let broken = broken + late::run(&record, has_trouble).await?;
+    Ok(if broken > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
-/// The rule: LOST, around planned work.
-fn judge(record: &Record, engines: &[Target], cuts: &[Cut], has_trouble: bool) -> Verdict {
+/// Returns how many of the requests that were cut break the rule: LOST, around planned work.
+pub fn count_broken(record: &Record, engines: &[Target], cuts: &[Cut], has_trouble: bool) -> usize {
     let runs: Vec<_> = engines.iter().flat_map(Target::runs).collect();
     // The engine broke nothing off: it was at work when its connection ended.
     let dropped = runs.iter().filter(|run| run.end == RunEnd::Dropped);
@@ -115,10 +120,10 @@
             "{id} was sent {sent:.3} s after the SIGTERM and cut at {at:.3} s; \
              passed on: {passed_on}, counts: {counts}"
         ));
-        broken += u32::from(passed_on && counts);
+        broken += usize::from(passed_on && counts);
     }
     record.line(format!("requests passed on and cut: {broken}"));
-    if broken > 0 { Verdict::Broken } else { Verdict::Held }
+    broken
 }
 
 /// Asks the host as the load balancer does, once a second. Returns whether the host is
