Trials: a pair of hosts and a kept connection for more than one test

Moves the two hosts of which one reaches a target through the other out of platform_forwarded_answers, and adds one kept connection of a caller, which shows whether the server closes it.

--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -19,7 +19,9 @@
 
 mod account_steps;
 mod caller;
+mod caller_connection;
 mod contracts;
+mod forwarded_pair;
 mod host_links;
 mod platform_client;
 mod platform_env;
@@ -37,10 +39,13 @@
 pub use crate::account_steps::wait_until_known_key_serves;
 pub use crate::caller::Caller;
 pub use crate::caller::JsonResponse;
+pub use crate::caller_connection::CallerConnection;
+pub use crate::caller_connection::KeptResponse;
 pub use crate::contracts::LESERBILD_KEY;
 pub use crate::contracts::SAVANNA_KEY;
 pub use crate::contracts::leserbild;
 pub use crate::contracts::savanna;
+pub use crate::forwarded_pair::ForwardedPair;
 pub use crate::host_links::HostLinks;
 pub use crate::platform_client::Connections;
 pub use crate::platform_client::PlatformClient;
--- a/crates/trials/tests/platform_forwarded_answers.rs
+++ b/crates/trials/tests/platform_forwarded_answers.rs
@@ -1,28 +1,20 @@
 //! Answers that have no length and end with their connection, on their way through
 //! another host.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
-use cassia_standin::LinkCut;
 use cassia_standin::RawEnd;
 use cassia_standin::RawRequest;
-use cassia_standin::RawTarget;
-use cassia_trials::HostLinks;
-use cassia_trials::PlatformEnv;
-use cassia_trials::Process;
+use cassia_trials::ForwardedPair;
 use cassia_trials::assert_complete;
 use cassia_trials::batch_job;
 use cassia_trials::eventually;
-use cassia_trials::wait_until_serving;
 use rstest::rstest;
 use tokio::time::sleep;
 
 /// Number of events of a whole text.
 const EVENTS: u64 = 6;
-/// Time within which a host finds out that its links are lost.
-const CONTACT: Duration = Duration::from_secs(3);
 
 fn head(request: &RawRequest, kind: &str) -> String {
     let id = &request.id;
@@ -45,35 +37,6 @@
     head(request, "text/event-stream") + &(first..end).map(event).collect::<Vec<_>>().concat()
 }
 
-/// Two hosts, of which the first reaches a target only through the other.
-struct Pair {
-    env: PlatformEnv,
-    target: Arc<RawTarget>,
-    cut: Process,
-    other: Process,
-    _links: HostLinks,
-}
-
-impl Pair {
-    async fn start(
-        service: &str,
-        plain_targets: usize,
-        script: impl Fn(&RawRequest) -> (String, RawEnd) + Send + Sync + 'static,
-    ) -> anyhow::Result<Self> {
-        let mut env = PlatformEnv::start().await?.with_targets(0, plain_targets).await?;
-        let target = env.add_raw_target("raw", service, script).await?;
-        let links = HostLinks::start_with(&env, &[("raw", target.addr())]).await?;
-        let cut = env.start_process_with_store("h1", links.store_addr()).await?;
-        let other = env.start_process("h2").await?;
-        if plain_targets > 0 {
-            wait_until_serving(&env, &cut).await?;
-        }
-        links.cut(LinkCut::Refuse);
-        sleep(CONTACT).await;
-        Ok(Self { env, target, cut, other, _links: links })
-    }
-}
-
 /// Guards against half an answer that a caller takes for all of it: the host that
 /// forwards a connection closed it in the ordinary way when the target reset it.
 #[rstest]
@@ -86,7 +49,7 @@
     #[case] path: &str,
 ) -> anyhow::Result<()> {
     let is_stream = service == "lm";
-    let pair = Pair::start(service, 0, move |request| {
+    let pair = ForwardedPair::start(service, 0, move |request| {
         let part = if is_stream { events(request, EVENTS / 2) } else { lines(request, 5) };
         (part, RawEnd::Reset)
     })
@@ -108,7 +71,7 @@
     #[case] path: &str,
 ) -> anyhow::Result<()> {
     let is_stream = service == "lm";
-    let mut pair = Pair::start(service, 0, move |request| {
+    let mut pair = ForwardedPair::start(service, 0, move |request| {
         let part = if is_stream { events(request, EVENTS / 2) } else { lines(request, 5) };
         (part, RawEnd::Hold)
     })
@@ -143,7 +106,8 @@
         // More than one message between hosts holds.
         if is_stream { events(request, 1_000) } else { lines(request, 1_000) }
     };
-    let pair = Pair::start(service, 0, move |request| (whole(request), RawEnd::Close)).await?;
+    let pair =
+        ForwardedPair::start(service, 0, move |request| (whole(request), RawEnd::Close)).await?;
     for n in 0..5 {
         let id = format!("a{n}");
         let response = pair.env.request(&pair.cut, path, &id).await;
@@ -161,7 +125,7 @@
 #[tokio::test]
 async fn a_text_that_is_reset_goes_on_after_its_last_event() -> anyhow::Result<()> {
     const ITEMS: usize = 16;
-    let pair = Pair::start("lm", 1, |request| {
+    let pair = ForwardedPair::start("lm", 1, |request| {
         if request.last_event_id.is_none() {
             (events(request, EVENTS / 2), RawEnd::Reset)
         } else {
