Serve: a planned stop takes no request that it could cut off

Cause: each connection drained by its own age, so one that came after the SIGTERM took requests until 4.6 s after it or until the process ended, and nothing asked whether a request could end before the process. Where a route's time limit is longer than the stop, the listener was closed 2.3 s after the SIGTERM instead, though the load balancer may use all hosts of a data centre.

Ruled out: only draining by the stop's time. A connection's first request may still take longer than what is left, and a stream has no limit but its caller's.

Change: admission::PlannedStop decides what begins in a stop. After the load balancer's lag each connection serves one more request, and a request is taken if its time limit ends before the process does; others are refused at once as not run. Calls about jobs and submissions are decided alike.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -7,6 +7,8 @@
 //! asks for less than its share, and unused capacity is used. Among the requests
 //! of one customer the class decides, then the priority, then the deadline.
 //!
+//! A [`PlannedStop`] decides what a host takes on while it is being stopped.
+//!
 //! The crate does no I/O and reads no clock. All decisions are O(log n) in the
 //! number of waiting requests.
 //!
@@ -33,9 +35,12 @@
 
 mod customer;
 mod index;
+mod planned_stop;
 mod queue;
 mod work_time;
 
+pub use crate::planned_stop::PlannedStop;
+pub use crate::planned_stop::StopDecision;
 pub use crate::queue::Admission;
 pub use crate::queue::Ask;
 pub use crate::queue::CustomerState;
--- a/crates/explain/src/verdict.rs
+++ b/crates/explain/src/verdict.rs
@@ -81,6 +81,7 @@
         "deadline_passed" => format!("its time was over before an answer{}", failures(lines)),
         "target_failed" => format!("no target's answer came whole{}", failures(lines)),
         "overloaded" => overload_reason(lines),
+        "stopping" => "the host was being stopped and could have ended first".to_owned(),
         "store_away" => "the store could not be asked".to_owned(),
         other => format!("it was {}", other.replace('_', " ")),
     };
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -10,16 +10,21 @@
 use anyhow::Context;
 use bytes::Bytes;
 use cassia_adapter::READY_PATH;
+use cassia_adapter::RequestHead;
 use cassia_adapter::decode_job_call;
 use cassia_adapter::decode_request_head;
+use cassia_admission::PlannedStop;
 use cassia_route::CallerLimits;
+use cassia_route::Route;
 use cassia_route::RouteKind;
 use futures::FutureExt;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::header::AUTHORIZATION;
+use http::header::CONNECTION;
 use http::request::Parts;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -31,6 +36,7 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -49,14 +55,8 @@
 use crate::stream;
 use crate::submit;
 
-/// How long the load balancer may still open connections after readiness is
-/// gone: two checks, one second apart, and a margin.
-pub(crate) const DRAIN_DELAY: Duration = Duration::from_millis(2_300);
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
-/// The least time that is left for the requests that have come when no more
-/// connections are accepted.
-const MIN_CLOSE_TIME: Duration = Duration::from_millis(1_500);
 
 /// The server for callers, with their open connections.
 #[derive(Debug)]
@@ -88,7 +88,7 @@
 }
 
 /// Waits for a signal to stop, then sets `stopping`.
-pub(crate) async fn wait_for_stop_signal(app: &App) -> anyhow::Result<()> {
+pub(crate) async fn wait_for_stop_signal(app: &App) -> anyhow::Result<PlannedStop> {
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
     let mut hup = signal(SignalKind::hangup())?;
@@ -101,26 +101,25 @@
             }
         }
     }
-    app.state.stopping.send_replace(true);
+    let stop = PlannedStop::new(Instant::now(), app.settings.stop_limit());
+    app.state.stopping.send_replace(Some(stop));
     log::info!(event = "stopping", step = "stop"; "no longer ready");
-    Ok(())
+    Ok(stop)
 }
 
 impl Server {
     /// Goes on serving for as long as the load balancer may open connections, and
     /// longer if it takes this process longer to end: where few hosts are ready, the
-    /// load balancer uses all. Returns at `deadline`, less the time that the requests
-    /// of the last connections may take, or when `other_work` has ended.
+    /// load balancer uses all. Returns when `other_work` has ended, or when new
+    /// connections could only be refused.
     pub(crate) async fn serve_while(
         &self,
-        app: &App,
         other_work: impl Future<Output = ()>,
-        deadline: Instant,
+        stop: PlannedStop,
     ) {
         // Also if no connection is open: the load balancer may open some.
-        sleep(DRAIN_DELAY).await;
-        let close_at = deadline.checked_sub(close_time(app)).unwrap_or_else(Instant::now);
-        let _ = timeout_at(close_at.into(), other_work).await;
+        sleep_until(stop.drains_at().into()).await;
+        let _ = timeout_at(stop.accepts_until().into(), other_work).await;
     }
 
     /// Accepts no more connections, and waits for the open ones to finish their
@@ -135,15 +134,6 @@
     }
 }
 
-/// Returns how long the requests of the last connections may take: the longest time
-/// limit of a route.
-fn close_time(app: &App) -> Duration {
-    let table = app.state.routes.load();
-    let routes = table.iter().flat_map(|table| table.routes());
-    let answered = routes.filter(|route| route.kind != RouteKind::Job);
-    answered.map(|route| route.timeout()).max().unwrap_or_default().max(MIN_CLOSE_TIME)
-}
-
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ListenerKind {
     Callers,
@@ -195,13 +185,14 @@
     // acknowledgements. If setting it fails because the connection is broken,
     // the first read fails too.
     let _ = stream.set_nodelay(true);
+    let accepted_at = Instant::now();
     let limits = app.state.routes.load().as_ref().map_or_else(CallerLimits::default, |t| t.limits);
     let cx = Arc::clone(&app);
     let service = service_fn(move |req| {
         let app = Arc::clone(&cx);
         async move {
             let response = match kind {
-                ListenerKind::Callers => handle(&app, req).await,
+                ListenerKind::Callers => handle_until_stop(&app, req).await,
                 ListenerKind::LoadBalancer => probe(&app, &req),
             };
             Ok::<_, Infallible>(response)
@@ -216,8 +207,8 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let stop = async {
-        app.state.wait_for_stop().await;
-        sleep(DRAIN_DELAY).await;
+        let stop = app.state.wait_for_stop().await;
+        sleep_until(stop.closes_at(accepted_at).into()).await;
     };
     // If a caller disconnects, its connection ends with an error and its
     // requests are dropped.
@@ -246,6 +237,17 @@
     response
 }
 
+/// Handles one request of a caller. Once connections are to be closed in a planned stop,
+/// the caller is told so with the response, as it could send the next request just when
+/// its connection is closed.
+async fn handle_until_stop(app: &Arc<App>, req: Request<Incoming>) -> Response<Body> {
+    let mut response = handle(app, req).await;
+    if app.state.is_draining() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
 /// Handles one request of a caller.
 async fn handle(app: &Arc<App>, req: Request<Incoming>) -> Response<Body> {
     let head = decode_request_head(req.uri(), req.headers());
@@ -254,7 +256,11 @@
     };
     if let Some(call) = decode_job_call(req.method(), req.uri(), req.headers()) {
         return match identify(app, &table, None, head.key.as_ref()).await {
-            Ok(requester) => job_calls::handle(app, call, &requester).await,
+            Ok(requester) => {
+                let latest_end = Instant::now() + job_calls::time_limit(&call);
+                let response = job_calls::handle(app, call, &requester);
+                answer_before_stop(app, &head.id, Some(latest_end), response).await
+            }
             Err(refusal) => refuse(app, &head.id, refusal),
         };
     }
@@ -266,7 +272,11 @@
         Err(refusal) => return refuse(app, &head.id, refusal),
     };
     let (parts, incoming) = req.into_parts();
-    let body = match body::read(incoming, &table.limits, &app.body_budget).await {
+    let body = tokio::select! {
+        body = body::read(incoming, &table.limits, &app.body_budget) => body,
+        () = app.state.wait_for_last_answers() => Err(Refusal::Stopping),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(refusal) => return refuse(app, &head.id, refusal),
     };
@@ -275,16 +285,55 @@
         Ok(requester) => requester,
         Err(refusal) => return refuse(app, &head.id, refusal),
     };
-    match route.kind {
-        RouteKind::Job if parts.method == Method::POST => {
-            submit::handle(app, &head, &route, &parts, body, &requester).await
-        }
-        RouteKind::Job => Refusal::BadRequest.response("submit"),
-        RouteKind::Stream { .. } => {
-            stream::handle(app, &head, &route, &outgoing_request(parts, body, requester)).await
+    let latest_end = latest_end(&head, &route);
+    let response = async {
+        match route.kind {
+            RouteKind::Job if parts.method == Method::POST => {
+                submit::handle(app, &head, &route, &parts, body, &requester).await
+            }
+            RouteKind::Job => Refusal::BadRequest.response("submit"),
+            RouteKind::Stream { .. } => {
+                stream::handle(app, &head, &route, &outgoing_request(parts, body, requester)).await
+            }
+            RouteKind::Idempotent | RouteKind::NonIdempotent => {
+                call::handle(app, &head, &route, outgoing_request(parts, body, requester)).await
+            }
         }
+    };
+    answer_before_stop(app, &head.id, latest_end, response).await
+}
+
+/// Returns when a request has ended at the latest; `None` if it may take any time.
+fn latest_end(head: &RequestHead, route: &Route) -> Option<Instant> {
+    let limit = match route.kind {
+        RouteKind::Job => Some(submit::time_limit(head, route)),
+        // A sound stream may last longer than its route's time limit.
+        RouteKind::Stream { .. } => head.timeout,
         RouteKind::Idempotent | RouteKind::NonIdempotent => {
-            call::handle(app, &head, &route, outgoing_request(parts, body, requester)).await
+            Some(head.timeout.map_or(route.timeout(), |limit| limit.min(route.timeout())))
+        }
+    };
+    limit.map(|limit| Instant::now() + limit)
+}
+
+/// Refuses a request at once if a planned stop could end before it does. One that was
+/// taken is answered before the process ends, whether its target has answered or not.
+async fn answer_before_stop(
+    app: &Arc<App>,
+    id: &str,
+    latest_end: Option<Instant>,
+    response: impl Future<Output = Response<Body>>,
+) -> Response<Body> {
+    if !app.state.takes_request(latest_end) {
+        return refuse(app, id, Refusal::Stopping);
+    }
+    tokio::select! {
+        response = response => response,
+        () = app.state.wait_for_last_answers() => {
+            let refusal = Refusal::OutcomeUnknown;
+            let (kind, ran, config) = (refusal.kind(), refusal.ran(), app.state.config_version());
+            log::warn!(event = "request_refused", step = "stop", id, kind, ran, config; "not answered by the stop limit");
+            refusal.response("stop")
         }
     }
 }
--- a/crates/serve/src/job_calls.rs
+++ b/crates/serve/src/job_calls.rs
@@ -51,6 +51,15 @@
     },
 }
 
+/// Returns how long a call may take.
+pub(crate) fn time_limit(call: &JobCall) -> Duration {
+    match call {
+        JobCall::Read { wait, .. } => (*wait).min(MAX_WAIT) + CALLER_PATIENCE,
+        JobCall::Body { .. } => CALLER_PATIENCE,
+        JobCall::End { .. } => END_RETRY_LIMIT + APPEND_TIMEOUT,
+    }
+}
+
 /// Handles a call about a submitted batch job.
 pub(crate) async fn handle(app: &App, call: JobCall, requester: &Requester) -> Response<Body> {
     let (step, response) = match &call {
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -56,7 +56,6 @@
 
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::Instant;
 
 use bpaf::Parser;
 use cassia_adapter::HttpStore;
@@ -119,15 +118,15 @@
     }
     let duties = duties::start(&app);
     let usage = usage::start(&app);
-    ingress::wait_for_stop_signal(&app).await?;
-    let deadline = Instant::now() + settings.stop_limit();
+    let stop = ingress::wait_for_stop_signal(&app).await?;
+    let deadline = stop.ends_at();
     runners.close();
     forwarded.close();
     let other_work = async {
         runners.wait().await;
         forwarded.wait().await;
     };
-    server.serve_while(&app, other_work, deadline).await;
+    server.serve_while(other_work, stop).await;
     // What is left of the time is enough to hand the lease over.
     app.state.drained.send_replace(true);
     server.close(deadline).await;
--- a/crates/serve/src/relay_server.rs
+++ b/crates/serve/src/relay_server.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
@@ -28,7 +29,6 @@
 use crate::forward::Framing;
 use crate::forward::forward;
 use crate::hosts;
-use crate::ingress::DRAIN_DELAY;
 use crate::relay::frames;
 use crate::relay::into_stream;
 use crate::relay::prepare;
@@ -110,8 +110,8 @@
     // and not an end, also one that knows no chunks.
     SockRef::from(&origin).set_linger(Some(Duration::ZERO))?;
     let stop = async {
-        app.state.wait_for_stop().await;
-        sleep(DRAIN_DELAY).await;
+        let stop = app.state.wait_for_stop().await;
+        sleep_until(stop.drains_at().into()).await;
     };
     let send_within = Duration::from_millis(request.send_within_ms.into());
     let limits = ForwardLimits {
--- a/crates/serve/src/response.rs
+++ b/crates/serve/src/response.rs
@@ -55,6 +55,9 @@
     },
     /// The store is unavailable; the request did not run.
     StoreUnavailable,
+    /// This host is being stopped, and could end before the request does; it did not
+    /// run.
+    Stopping,
     /// The request may have run, but there is no response.
     OutcomeUnknown,
     /// The deadline has passed; the request may have run.
@@ -63,6 +66,8 @@
     NoSuchJob,
 }
 
+/// `retry-after` of what other hosts serve at once, in seconds.
+const NO_RETRY_AFTER: &str = "0";
 /// `retry-after` while targets, memory or another host's report are missing, in seconds.
 const SHORT_RETRY_AFTER: &str = "0.25";
 /// `retry-after` while the configuration, the store, a share of a limited rate or
@@ -83,6 +88,7 @@
             | Self::Quarantined
             | Self::LastTarget
             | Self::RateLimited
+            | Self::Stopping
             | Self::StoreUnavailable
             | Self::UnknownSoftware => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
@@ -111,6 +117,7 @@
             Self::LastTarget => "last_target",
             Self::RateLimited => "rate_limited",
             Self::Overloaded { .. } => "overloaded",
+            Self::Stopping => "stopping",
             Self::StoreUnavailable => "store_away",
             Self::UnknownSoftware => "unknown_software",
             Self::OutcomeUnknown => "target_failed",
@@ -139,16 +146,17 @@
             | Self::RateLimited
             | Self::StoreUnavailable => LONG_RETRY_AFTER,
             Self::Quarantined => QUARANTINE_RETRY_AFTER,
+            Self::Stopping => NO_RETRY_AFTER,
             Self::NoMemory | Self::NoTarget | Self::UnknownSoftware => SHORT_RETRY_AFTER,
             _ => return None,
         };
         Some(HeaderValue::from_static(seconds))
     }
 
-    /// Returns whether the connection must be closed, since the rest of the
-    /// request's body may still arrive on it.
+    /// Returns whether the connection must be closed: the rest of the request's body
+    /// may still arrive on it, or this host takes no more requests.
     fn closes_connection(self) -> bool {
-        matches!(self, Self::NoMemory | Self::TooLarge | Self::BodyTimeout)
+        matches!(self, Self::NoMemory | Self::TooLarge | Self::BodyTimeout | Self::Stopping)
     }
 
     /// Builds the response; `step` is the step that failed.
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -22,6 +22,8 @@
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
+use cassia_admission::PlannedStop;
+use cassia_admission::StopDecision;
 use cassia_ids::BootId;
 use cassia_ids::DataCentre;
 use cassia_ids::HostId;
@@ -33,6 +35,7 @@
 use cassia_route::TargetSet;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::sleep_until;
 
 use crate::flags::ServeSettings;
 use crate::store_contact::StoreContact;
@@ -67,8 +70,8 @@
     pub(crate) duty_rank: ArcSwapOption<u32>,
     /// The partitions whose jobs this process runs.
     pub(crate) owned: watch::Sender<BTreeSet<u32>>,
-    /// Whether a planned stop has begun.
-    pub(crate) stopping: watch::Sender<bool>,
+    /// The planned stop, once it has begun.
+    pub(crate) stopping: watch::Sender<Option<PlannedStop>>,
     /// Whether a planned stop has served its last request.
     pub(crate) drained: watch::Sender<bool>,
     /// Whether this process reaches the store.
@@ -94,7 +97,7 @@
             heartbeats: ArcSwap::default(),
             duty_rank: ArcSwapOption::empty(),
             owned: watch::Sender::new(BTreeSet::new()),
-            stopping: watch::Sender::new(false),
+            stopping: watch::Sender::new(None),
             drained: watch::Sender::new(false),
             store_contact: Arc::default(),
             slot_freed: Notify::new(),
@@ -109,14 +112,38 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        self.stopping.borrow().is_some()
     }
 
     /// Waits until a planned stop begins.
-    pub(crate) async fn wait_for_stop(&self) {
+    pub(crate) async fn wait_for_stop(&self) -> PlannedStop {
         let mut stopping = self.stopping.subscribe();
-        // The sender lives as long as `self`.
-        let _ = stopping.wait_for(|stopping| *stopping).await;
+        loop {
+            if let Some(stop) = *stopping.borrow_and_update() {
+                return stop;
+            }
+            // The sender lives as long as `self`.
+            let _ = stopping.changed().await;
+        }
+    }
+
+    /// Waits until what is still under way in a planned stop must be answered.
+    pub(crate) async fn wait_for_last_answers(&self) {
+        let stop = self.wait_for_stop().await;
+        sleep_until(stop.answers_at().into()).await;
+    }
+
+    /// Returns whether a request that has ended by `latest_end` is taken; `None` if it
+    /// may take any time.
+    pub(crate) fn takes_request(&self, latest_end: Option<Instant>) -> bool {
+        let stop = *self.stopping.borrow();
+        let decision = stop.map(|stop| stop.decide(latest_end, Instant::now()));
+        decision != Some(StopDecision::Refuse)
+    }
+
+    /// Returns whether connections serve no further request.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.stopping.borrow().is_some_and(|stop| stop.is_draining(Instant::now()))
     }
 
     /// Sleeps until the duration has passed or a planned stop begins.
--- a/crates/serve/src/submit.rs
+++ b/crates/serve/src/submit.rs
@@ -53,6 +53,12 @@
     }
 }
 
+/// Returns how long a submission may take.
+pub(crate) fn time_limit(head: &RequestHead, route: &Route) -> Duration {
+    let caller_timeout = head.timeout.unwrap_or_else(|| route.timeout());
+    RETRY_LIMIT.min(caller_timeout / 3)
+}
+
 /// Handles the submission of a batch job.
 pub(crate) async fn handle(
     app: &App,
@@ -82,8 +88,7 @@
     };
     drop(body);
     let started = Instant::now();
-    let caller_timeout = head.timeout.unwrap_or_else(|| route.timeout());
-    let until = started + RETRY_LIMIT.min(caller_timeout / 3);
+    let until = started + time_limit(head, route);
     let outcome = append_job(app, &job.id, requester, &records, until).await;
     let took_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
     let (id, items, step, fate) = (head.id.as_str(), job.items.len(), job.step, outcome.as_str());
