Relay: a host that is being stopped is left before the next request

Callers of a host that reaches its targets only through another one got 502 for requests that may not be repeated, as that other host ended its planned stop.

Cause: the host that is stopped closes forwarded connections once they have been quiet for two seconds. One on which the other host sends request after request never is, and is cut off with what is under way.

Ruled out: closing between a response and the next request at the host that is stopped. The other host can't tell a request that crosses the close from one that ran.

Change: as a stop begins, a chunk without bytes says so on each forwarded connection (RelayChunk::is_draining); the other host's next request to that target takes a new one. Hosts of earlier releases skip the chunk.

Before, on: platform_stops::a_stop_cuts_off_no_request_of_another_hosts_callers failed.

--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -36,6 +36,10 @@
     /// that ends without this broke off.
     #[prost(bool, tag = "2")]
     pub is_last: bool,
+    /// Whether the host that forwards is being stopped: no further request may be sent on
+    /// this connection. Hosts of earlier releases neither say nor know this.
+    #[prost(bool, tag = "3")]
+    pub is_draining: bool,
 }
 
 /// The response to a request for a connection.
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -98,6 +98,14 @@
         self.paths.entry(target).or_default().has_relayed = true;
     }
 
+    /// Records that a host through which a connection goes is being stopped. The requests
+    /// that are under way on it may still end.
+    pub fn record_draining(&mut self, target: SocketAddr) {
+        if let Some(path) = self.paths.get_mut(&target) {
+            path.is_changed |= path.has_relayed;
+        }
+    }
+
     /// Records that the target has answered, whichever way.
     pub fn record_heard(&mut self, target: SocketAddr, now: Instant) {
         self.paths.entry(target).or_default().heard_at = Some(now);
--- a/crates/relay/tests/paths.rs
+++ b/crates/relay/tests/paths.rs
@@ -92,3 +92,15 @@
     paths.retain(|_| false);
     assert!(!paths.is_cut_off(now), "links to targets that are gone don't count");
 }
+
+/// Requests on a connection through a host that is stopped are cut off when it ends.
+#[test]
+fn a_host_that_is_stopped_is_left_before_the_next_request() {
+    let (now, mut paths) = (Instant::now(), PathTable::default());
+    paths.record_draining(target(1));
+    assert!(!paths.plan_send(target(1), Ways::All, now).is_changed, "no connection goes there");
+    paths.record_opened(target(1));
+    paths.record_draining(target(1));
+    assert!(paths.plan_send(target(1), Ways::All, now).is_changed);
+    assert!(!paths.plan_send(target(1), Ways::All, now).is_changed);
+}
--- a/crates/serve/src/forward.rs
+++ b/crates/serve/src/forward.rs
@@ -8,8 +8,11 @@
 use bytes::BufMut;
 use bytes::Bytes;
 use bytes::BytesMut;
+use cassia_admission::PlannedStop;
 use cassia_relay::RelayChunk;
+use futures::FutureExt;
 use futures::SinkExt;
+use futures::future::FusedFuture;
 use prost::Message;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -41,8 +44,10 @@
     pub(crate) quiet: Duration,
 }
 
-/// Forwards until both directions have ended. Once `stop` is over, the connection is
-/// closed as soon as it has been quiet for a while: no request is under way on it then.
+/// Forwards until both directions have ended. In a planned stop, which `stop` waits for,
+/// the other host is told at once to send no further request. Once the stop drains, the
+/// connection is closed as soon as it has been quiet for a while: no request is under way
+/// on it then.
 ///
 /// # Errors
 ///
@@ -52,22 +57,25 @@
     origin: &mut TcpStream,
     target: &mut TcpStream,
     framing: Framing,
-    stop: impl Future<Output = ()>,
+    stop: impl Future<Output = PlannedStop>,
     limits: ForwardLimits,
 ) -> io::Result<()> {
     let last_bytes = Mutex::new(Instant::now());
+    let stop = stop.shared();
     let (from_origin, to_origin) = origin.split();
     let (from_target, to_target) = target.split();
     let responses = async {
         match framing {
-            Framing::Chunks => copy_in_chunks(from_target, to_origin, &last_bytes).await,
+            Framing::Chunks => {
+                copy_in_chunks(from_target, to_origin, stop.clone(), &last_bytes).await
+            }
             Framing::Plain => copy(from_target, to_origin, None, &last_bytes).await,
         }
     };
     let requests = copy(from_origin, to_target, limits.send_until, &last_bytes);
     let both = async { tokio::try_join!(requests, responses).map(|_| ()) };
     let quiet_after_stop = async {
-        stop.await;
+        sleep_until(stop.clone().await.drains_at().into()).await;
         loop {
             let quiet_at = *lock(&last_bytes) + limits.quiet;
             if Instant::now() >= quiet_at {
@@ -103,19 +111,30 @@
     }
 }
 
-/// Copies one direction in chunks until it ends.
+/// Copies one direction in chunks until it ends. Once a planned stop begins, a chunk of its
+/// own says so.
 async fn copy_in_chunks(
     mut from: ReadHalf<'_>,
     to: WriteHalf<'_>,
+    stop: impl Future<Output = PlannedStop>,
     last_bytes: &Mutex<Instant>,
 ) -> io::Result<()> {
     let mut frames = FramedWrite::new(to, codec());
     let mut buf = BytesMut::new();
+    let mut stop = std::pin::pin!(stop.fuse());
     loop {
         buf.reserve(MAX_CHUNK_BYTES);
-        let count = from.read_buf(&mut (&mut buf).limit(MAX_CHUNK_BYTES)).await?;
-        *lock(last_bytes) = Instant::now();
-        let chunk = RelayChunk { data: buf.split().freeze(), is_last: count == 0 };
+        let mut limited = (&mut buf).limit(MAX_CHUNK_BYTES);
+        let chunk = tokio::select! {
+            count = from.read_buf(&mut limited) => {
+                let is_last = count? == 0;
+                *lock(last_bytes) = Instant::now();
+                RelayChunk { data: buf.split().freeze(), is_last, is_draining: false }
+            }
+            _ = &mut stop, if !stop.is_terminated() => {
+                RelayChunk { is_draining: true, ..RelayChunk::default() }
+            }
+        };
         frames.send(Bytes::from(chunk.encode_to_vec())).await?;
         if chunk.is_last {
             return frames.into_inner().shutdown().await;
--- a/crates/serve/src/relay.rs
+++ b/crates/serve/src/relay.rs
@@ -71,7 +71,7 @@
 #[derive(Debug)]
 pub(crate) struct HostRelay {
     pub(crate) hosts: Mutex<HostTable>,
-    paths: Mutex<PathTable>,
+    paths: Arc<Mutex<PathTable>>,
     targets: ArcSwap<TargetSet>,
     store_contact: Arc<StoreContact>,
     /// Notified when a link is lost.
@@ -86,7 +86,7 @@
         let hosts = HostTable::new(settings.host.clone(), settings.data_centre.clone());
         Self {
             hosts: Mutex::new(hosts),
-            paths: Mutex::default(),
+            paths: Arc::default(),
             targets: ArcSwap::from_pointee(TargetSet::empty(Instant::now())),
             store_contact: Arc::clone(store_contact),
             link_lost: Notify::new(),
@@ -273,7 +273,7 @@
         let mut asked = FuturesUnordered::new();
         loop {
             match candidates.next() {
-                Some((host, addr)) => asked.push(ask(host, addr, request.clone())),
+                Some((host, addr)) => asked.push(self.ask(host, addr, peer, request.clone())),
                 None if asked.is_empty() => return Err(io::ErrorKind::NotConnected.into()),
                 None => {}
             }
@@ -296,22 +296,32 @@
         }
     }
 
+    /// Asks one host for a connection to a target. When that host is stopped, the next
+    /// request to the target takes another connection.
+    async fn ask(
+        &self,
+        host: HostId,
+        addr: SocketAddr,
+        peer: SocketAddr,
+        request: RelayRequest,
+    ) -> (HostId, io::Result<Box<dyn PeerStream>>) {
+        let paths = Arc::clone(&self.paths);
+        let on_draining = move || lock(&paths).record_draining(peer);
+        (host, try_ask(addr, request, on_draining).await)
+    }
+
     /// Returns a target's id, for logs.
     fn name(&self, addr: SocketAddr) -> String {
         self.find_target(addr).map_or_else(|| addr.to_string(), |target| target.info.id.to_string())
     }
 }
 
-/// Asks one host for a connection.
-async fn ask(
-    host: HostId,
+/// Asks one host for a connection; `on_draining` is called when that host is stopped.
+async fn try_ask(
     addr: SocketAddr,
     request: RelayRequest,
-) -> (HostId, io::Result<Box<dyn PeerStream>>) {
-    (host, try_ask(addr, request).await)
-}
-
-async fn try_ask(addr: SocketAddr, request: RelayRequest) -> io::Result<Box<dyn PeerStream>> {
+    on_draining: impl Fn() + Clone + Send + 'static,
+) -> io::Result<Box<dyn PeerStream>> {
     let stream = TcpStream::connect(addr).await?;
     prepare(&stream)?;
     let mut frames = frames(stream);
@@ -319,7 +329,9 @@
     frames.send(Bytes::from(request.encode_to_vec())).await?;
     let frame = frames.next().await.transpose()?.ok_or(io::ErrorKind::UnexpectedEof)?;
     match RelayReply::decode(frame.freeze()) {
-        Ok(RelayReply::ConnectedInChunks) => into_stream(frames).map(relayed_stream::from_chunks),
+        Ok(RelayReply::ConnectedInChunks) => {
+            into_stream(frames).map(|stream| relayed_stream::from_chunks(stream, on_draining))
+        }
         Ok(RelayReply::Connected) if is_limited => {
             Err(io::Error::other("the host is of an earlier release and keeps no limit"))
         }
--- a/crates/serve/src/relay_server.rs
+++ b/crates/serve/src/relay_server.rs
@@ -20,7 +20,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
@@ -109,10 +108,7 @@
     // If the connection breaks off, or this process ends, the other host sees a reset
     // and not an end, also one that knows no chunks.
     SockRef::from(&origin).set_linger(Some(Duration::ZERO))?;
-    let stop = async {
-        let stop = app.state.wait_for_stop().await;
-        sleep_until(stop.drains_at().into()).await;
-    };
+    let stop = app.state.wait_for_stop();
     let send_within = Duration::from_millis(request.send_within_ms.into());
     let limits = ForwardLimits {
         send_until: (!send_within.is_zero()).then(|| replied_at + send_within),
--- a/crates/trials/tests/platform_stops.rs
+++ b/crates/trials/tests/platform_stops.rs
@@ -4,7 +4,9 @@
 use std::time::Instant;
 
 use anyhow::Context;
+use cassia_standin::LinkCut;
 use cassia_trials::CallerConnection;
+use cassia_trials::HostLinks;
 use cassia_trials::KeptResponse;
 use cassia_trials::PlatformEnv;
 use cassia_trials::Process;
@@ -241,3 +243,41 @@
     assert_eq!(ended.context("it doesn't end in time")?.code(), Some(0));
     Ok(())
 }
+
+/// A host that forwards connections for another one went on doing so while it was being
+/// stopped, and cut the other host's requests off at its end.
+#[tokio::test]
+async fn a_stop_cuts_off_no_request_of_another_hosts_callers() -> anyhow::Result<()> {
+    let env = PlatformEnv::start().await?.with_targets(0, 3).await?;
+    let links = HostLinks::start(&env).await?;
+    let cut = env.start_process_with_store("h1", links.store_addr()).await?;
+    let mut stopped = env.start_process("h2").await?;
+    wait_until_serving(&env, &cut).await?;
+    links.cut(LinkCut::Refuse);
+    let forwarded = || async { env.request(&cut, "/once/1", "probe").await.status == 200 };
+    anyhow::ensure!(eventually(forwarded).await, "no host forwards connections");
+    let other = env.start_process("h3").await?;
+    for target in &env.targets {
+        target.set_delay(Duration::from_millis(300));
+    }
+    // The kept connections go through the host that is stopped.
+    for n in 0..10 {
+        env.request(&cut, "/once/1", &format!("before-{n}")).await;
+    }
+    stopped.terminate();
+    let one = |n: u32| {
+        let (env, cut) = (&env, &cut);
+        async move {
+            sleep(2 * n * REQUEST_INTERVAL).await;
+            let id = format!("r{n}");
+            (env.request(cut, "/once/1", &id).await.status, id)
+        }
+    };
+    let responses = join_all((0..95).map(one)).await;
+    let lost: Vec<_> = responses.iter().filter(|(status, _)| *status != 200).collect();
+    assert!(lost.is_empty(), "{lost:?}");
+    let ended = stopped.wait(Duration::ZERO).await;
+    assert_eq!(ended.context("it doesn't end in time")?.code(), Some(0));
+    drop(other);
+    Ok(())
+}
