Clients: a response has a status from 200 to 599

Callers got answers with the status 101, 600 or 999 of a target in trouble, and reward calls were repeated after them. 000 and a head that stops in its middle were turned down already.

Cause: the HTTP library takes any number from 100 to 999, and the code that forwards answers takes what is no server error for one.

Ruled out: a check at each place that reads an answer; all of them read through one client.

Change: HttpClient gives out a response only with the status of a final one. With another the outcome is unknown and the connection is not used again.

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -13,6 +13,7 @@
 use bytes::BytesMut;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -164,7 +165,7 @@
     ///
     /// # Errors
     ///
-    /// There is no response.
+    /// There is no response, or its status is that of no final response.
     pub async fn send_any_status(
         &self,
         step: &'static str,
@@ -184,6 +185,11 @@
                     limit.head_received();
                 }
                 match decision.decide(&response) {
+                    _ if !is_final(response.status()) => {
+                        self.drop_pool_if_current(peer, &pool);
+                        let detail = format!("{} is no status of a response", response.status());
+                        Err(error(ErrorKind::InvalidResponse, detail))
+                    }
                     Attribution::Certain => Ok(response),
                     Attribution::Uncertain => {
                         let detail = "it may be the response to another request".to_owned();
@@ -381,6 +387,12 @@
     Ok(request)
 }
 
+/// Returns whether a final response may have this status. The HTTP library takes any
+/// number from 100 to 999, and 101 for the end of the protocol that was asked for.
+fn is_final(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 200..=599)
+}
+
 fn has_not_run_header(response: &Response<Incoming>) -> bool {
     response.headers().contains_key(NOT_RUN_HEADER)
 }
