--- a/crates/standin/src/endless.rs
+++ b/crates/standin/src/endless.rs
@@ -88,6 +88,12 @@
         &self.id
     }
 
+    /// Returns the address that it listens on.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Returns the next heartbeat.
     #[must_use]
     pub fn heartbeat(&self) -> Value {
--- a/crates/trials/tests/platform_endless.rs
+++ b/crates/trials/tests/platform_endless.rs
@@ -6,6 +6,8 @@
 use anyhow::Context;
 use cassia_standin::Endless;
 use cassia_standin::EndlessTarget;
+use cassia_standin::LinkCut;
+use cassia_trials::HostLinks;
 use cassia_trials::PlatformEnv;
 use cassia_trials::Process;
 use cassia_trials::assert_complete;
@@ -141,3 +143,35 @@
     assert_little_memory(&process)?;
     assert_all_closed(&endless).await
 }
+
+/// Guards against memory that fills up at the host that forwards a connection, or at the
+/// one that asked for it.
+#[rstest]
+#[case::head(Endless::Head)]
+#[case::informational(Endless::Informational)]
+#[case::body(Endless::Body)]
+#[case::chunks(Endless::Chunks)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_through_another_host_fail_in_time(#[case] kind: Endless) -> anyhow::Result<()> {
+    let mut env = PlatformEnv::start().await?;
+    let endless = env.add_endless_target("intake", kind).await?;
+    let links = HostLinks::start_with(&env, &[("endless", endless.addr())]).await?;
+    let cut = env.start_process_with_store("h1", links.store_addr()).await?;
+    let other = env.start_process("h2").await?;
+    links.cut(LinkCut::Refuse);
+    let forwarded = || async {
+        env.request(&cut, "/quote/1", "probe").await;
+        endless.request_count() > 0
+    };
+    anyhow::ensure!(eventually(forwarded).await, "the target got no request");
+    let ids: Vec<_> = (0..REQUESTS).map(|n| format!("r{n}")).collect();
+    let started = Instant::now();
+    let responses = join_all(ids.iter().map(|id| env.request(&cut, "/quote/1", id))).await;
+    for response in responses {
+        assert!(matches!(response.status, 502..=504), "{response:?}");
+    }
+    assert!(started.elapsed() < RESPONSE_LIMIT, "{:?}", started.elapsed());
+    assert_little_memory(&cut)?;
+    assert_little_memory(&other)?;
+    assert_all_closed(&endless).await
+}
