Serve: the return of single partitions of the store is noticed within 0.3 s

Cause: a read that a silent partition holds ends by its own timeout, which has grown. What ended it early was a small call that had failed and succeeds; where only some partitions are away none fails.

Ruled out: shorter timeouts without growth.

Change: cassia-contact learns from every call which partitions answer, reads those that don't from their end each 0.3 s, within 1,000 such reads a second of all hosts together, and wakes the readers once a probe succeeds after one that failed. Readers of the configuration, targets, hosts, reports and jobs take their wake-ups from there, with their first timeout and without waiting for records. Items begin after a read of their partition also where it alone was away.

--- /dev/null
+++ b/crates/contact/src/table.rs
@@ -0,0 +1,155 @@
+//! The partitions, and the probes of those that don't answer.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use cassia_ids::Offset;
+use smol_str::SmolStr;
+
+/// How long a probe may take.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time from one probe of a partition to the next.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of probes a second that all hosts may make together: half of the reads that the
+/// store takes.
+const MAX_PROBES_PER_S: u32 = 1_000;
+
+/// Identifies a partition of the store.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PartitionId {
+    /// Its topic.
+    pub topic: SmolStr,
+    /// Its number.
+    pub partition: u32,
+}
+
+/// Whether it is new that a partition answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// It is not.
+    None,
+    /// The partition answers again: what was sent to it before may never be answered. The
+    /// others that are away may be back as well, and are read once too.
+    Back,
+}
+
+/// What to do next for the partitions that don't answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum NextProbe {
+    /// All answer, or are being asked.
+    Idle,
+    /// Wait until then.
+    At(Instant),
+    /// Read from the partition at an offset, which is its end as far as is known.
+    Send {
+        /// The partition.
+        partition: PartitionId,
+        /// Where to read.
+        from: Offset,
+    },
+}
+
+/// What is known of one partition.
+#[derive(Clone, Debug, Default)]
+struct Contact {
+    end: Offset,
+    /// `None` while it answers.
+    away: Option<Away>,
+    back_at: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Away {
+    has_failed_probe: bool,
+    is_asked: bool,
+    probe_at: Instant,
+}
+
+/// The partitions that this host has called.
+#[derive(Debug, Default)]
+pub struct ContactTable {
+    partitions: BTreeMap<PartitionId, Contact>,
+    /// Earliest time of the next probe, so that the hosts together stay within their rate.
+    spaced_until: Option<Instant>,
+}
+
+impl ContactTable {
+    /// Records that a call of a partition was answered; `end` is its end, if that is known.
+    pub fn record_answer(
+        &mut self,
+        partition: &PartitionId,
+        end: Option<Offset>,
+        now: Instant,
+    ) -> Change {
+        let contact = self.contact(partition);
+        contact.end = end.unwrap_or(contact.end);
+        let was_away = contact.away.take();
+        if was_away.is_some_and(|away| away.has_failed_probe) {
+            contact.back_at = Some(now);
+            return Change::Back;
+        }
+        Change::None
+    }
+
+    /// Records that a call of a partition was not answered, or refused as a whole.
+    pub fn record_failure(&mut self, partition: &PartitionId, now: Instant) {
+        let away = Away { has_failed_probe: false, is_asked: false, probe_at: now };
+        self.contact(partition).away.get_or_insert(away);
+    }
+
+    /// Returns the next probe, which is under way from then on, where this many hosts
+    /// probe.
+    pub fn next_probe(&mut self, hosts: usize, now: Instant) -> NextProbe {
+        let away = self.partitions.iter_mut().filter_map(|(partition, contact)| {
+            let end = contact.end;
+            let away = contact.away.as_mut().filter(|away| !away.is_asked)?;
+            Some((away.probe_at, partition, away, end))
+        });
+        let Some((due_at, partition, away, from)) = away.min_by_key(|(at, ..)| *at) else {
+            return NextProbe::Idle;
+        };
+        let probe_at = self.spaced_until.map_or(due_at, |until| until.max(due_at));
+        if now < probe_at {
+            return NextProbe::At(probe_at);
+        }
+        away.is_asked = true;
+        away.probe_at = now + PROBE_INTERVAL;
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX).max(1);
+        self.spaced_until = Some(now + Duration::from_secs(1) * hosts / MAX_PROBES_PER_S);
+        NextProbe::Send { partition: partition.clone(), from }
+    }
+
+    /// Records whether a probe was answered.
+    pub fn record_probe(
+        &mut self,
+        partition: &PartitionId,
+        is_answered: bool,
+        now: Instant,
+    ) -> Change {
+        if is_answered {
+            return self.record_answer(partition, None, now);
+        }
+        if let Some(away) = &mut self.contact(partition).away {
+            away.is_asked = false;
+            away.has_failed_probe = true;
+        }
+        Change::None
+    }
+
+    /// Returns when a partition answered again after an outage.
+    #[must_use]
+    pub fn back_at(&self, partition: &PartitionId) -> Option<Instant> {
+        self.partitions.get(partition)?.back_at
+    }
+
+    /// Returns the partitions that don't answer.
+    pub fn away(&self) -> impl Iterator<Item = &PartitionId> {
+        let away = self.partitions.iter().filter(|(_, contact)| contact.away.is_some());
+        away.map(|(partition, _)| partition)
+    }
+
+    fn contact(&mut self, partition: &PartitionId) -> &mut Contact {
+        self.partitions.entry(partition.clone()).or_default()
+    }
+}
--- a/crates/jobs/src/read_plan.rs
+++ b/crates/jobs/src/read_plan.rs
@@ -89,6 +89,12 @@
         FIRST_TIMEOUT.saturating_mul(1 << self.timeouts.min(u32::BITS - 1)).min(MAX_TIMEOUT)
     }
 
+    /// Records that the store is back after an outage: reads timed out because of it and
+    /// not of their size.
+    pub fn record_back(&mut self) {
+        self.timeouts = 0;
+    }
+
     /// Records the outcome of a read.
     pub fn record(&mut self, outcome: ReadOutcome, now: Instant) {
         match outcome {
--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -22,6 +22,7 @@
 use crate::relay::HostRelay;
 use crate::resume::Streams;
 use crate::state::SharedState;
+use crate::store_contact::StoreContact;
 use crate::target_clients::TargetClients;
 use crate::usage::Usage;
 
@@ -64,6 +65,7 @@
     pub(crate) fn new(
         settings: &ServeSettings,
         store: Arc<dyn Store>,
+        store_contact: Arc<StoreContact>,
         response_budget: &Arc<ByteBudget>,
     ) -> Self {
         let page = MetricsPage::default();
@@ -73,7 +75,7 @@
         let usage = reported.map(|duties| Arc::new(Usage::new(duties.usage_window_ms, &clock)));
         let duties =
             duties.map(|duties| Arc::new(DutyContext::new(duties, response_budget, clock.now())));
-        let state = SharedState::new(settings);
+        let state = SharedState::new(settings, store_contact);
         let relay = Arc::new(HostRelay::new(settings, &state.store_contact));
         let job_log = JobLog::new(&store, &state.store_contact, settings.store_parts);
         Self {
--- a/crates/serve/src/config.rs
+++ b/crates/serve/src/config.rs
@@ -9,6 +9,7 @@
 use cassia_adapter::OperatorRecord;
 use cassia_adapter::decode_operator_record;
 use cassia_clients::KeyedRecord;
+use cassia_clients::PartitionRef;
 use cassia_clients::StoreError;
 use cassia_ids::ModelName;
 use cassia_ids::Version;
@@ -22,6 +23,8 @@
 use crate::keyed_reader::KeyedReader;
 use crate::state::lock;
 
+/// Where operators and trainers write.
+const OPERATOR: PartitionRef<'static> = PartitionRef { topic: OPERATOR_TOPIC, partition: 0 };
 /// How long the store may hold a read back until there are records. Short, so
 /// that a dead connection is detected within the time in which a change must
 /// take effect.
@@ -39,15 +42,21 @@
 pub(crate) async fn run(app: Arc<App>) {
     let mut reader = KeyedReader::new(OPERATOR_TOPIC);
     let long_poll = long_poll(app.settings.revoke_ms);
-    let mut store_failed = false;
+    let (mut store_failed, mut is_behind) = (false, false);
     let mut backoff = ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT);
-    let mut store_back = app.state.store_contact.subscribe();
+    let mut store_back = app.state.store_contact.subscribe(OPERATOR);
     loop {
         let began = Instant::now();
+        // A read that waits for records would end late if the store is lost again.
+        let wait = if is_behind { Duration::ZERO } else { long_poll };
         let read = tokio::select! {
-            read = reader.read(app.store.as_ref(), long_poll, backoff.timeout()) => read,
+            read = reader.read(app.store.as_ref(), wait, backoff.timeout()) => read,
             // A read that was sent before the store was back may never end.
-            _ = store_back.changed() => continue,
+            _ = store_back.changed() => {
+                backoff.record_success();
+                is_behind = true;
+                continue;
+            }
         };
         match read {
             Ok(read) => {
@@ -58,18 +67,22 @@
                 }
                 app.key_reads.set_position(reader);
                 backoff.record_success();
+                is_behind = false;
                 if std::mem::take(&mut store_failed) {
                     log::info!(event = "store_back", step = "configuration"; "the store can be read again");
                 }
             }
             Err(e) => {
                 backoff.record_failure();
+                is_behind = true;
                 if !std::mem::replace(&mut store_failed, true) {
                     log::warn!(event = "store_away", step = e.step; "{e}");
                 }
                 // Not shortened by a planned stop, in which the reads go on.
                 let delay = backoff.delay(RETRY_DELAY, rand::random());
-                let _ = timeout(delay, store_back.changed()).await;
+                if timeout(delay, store_back.changed()).await.is_ok() {
+                    backoff.record_success();
+                }
             }
         }
     }
--- a/crates/serve/src/hosts.rs
+++ b/crates/serve/src/hosts.rs
@@ -63,12 +63,15 @@
 pub(crate) async fn read_hosts(app: Arc<App>) {
     let mut backoff = ReadBackoff::new(CALL_TIMEOUT, MAX_READ_TIMEOUT);
     let mut interval = MIN_READ_INTERVAL;
-    let mut store_back = app.state.store_contact.subscribe();
+    let mut store_back = app.state.store_contact.subscribe(HOSTS);
     loop {
         let read = tokio::select! {
             read = read(&app, backoff.timeout()) => read,
             // A read that was sent before the store was back may never end.
-            _ = store_back.changed() => continue,
+            _ = store_back.changed() => {
+                backoff.record_success();
+                continue;
+            }
         };
         match read {
             Ok(NewHosts::Some) => {
@@ -85,7 +88,9 @@
             }
         }
         let delay = backoff.delay(interval, rand::random());
-        let _ = timeout(delay, store_back.changed()).await;
+        if timeout(delay, store_back.changed()).await.is_ok() {
+            backoff.record_success();
+        }
     }
 }
 
@@ -94,7 +99,7 @@
     let Some(addr) = app.settings.relay else { return };
     let entry =
         HostEntry { addr: addr.to_string(), data_centre: app.state.data_centre.to_string() };
-    let mut store_back = app.state.store_contact.subscribe();
+    let mut store_back = app.state.store_contact.subscribe(HOSTS);
     while !app.state.is_stopping() {
         let deadline = Instant::now() + CALL_TIMEOUT;
         let put = app.store.put(HOSTS, &app.state.host, &entry.encode_to_vec(), deadline).await;
--- a/crates/serve/src/job_requests.rs
+++ b/crates/serve/src/job_requests.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_jobs::JOBS_TOPIC;
 use cassia_jobs::Job;
 use cassia_jobs::JobId;
 use cassia_relay::Ways;
@@ -39,7 +40,7 @@
     /// reads the partition to its end first.
     pub(crate) fn may_begin(&self) -> bool {
         let log = self.app.job_log.partition(self.partition);
-        let back_at = self.app.state.store_contact.back_at();
+        let back_at = self.app.state.store_contact.back_at(log.in_topic(JOBS_TOPIC));
         let needed = back_at.and_then(|at| at.checked_sub(MAX_READ_AGE));
         needed.is_none_or(|time| log.is_current_as_of(time))
             && log.table().job(&self.job).is_some_and(Job::is_open)
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -52,6 +52,7 @@
 mod token_time;
 mod unanswered;
 mod usage;
+mod watched_store;
 mod weights;
 
 use std::process::ExitCode;
@@ -71,6 +72,8 @@
 use crate::app::App;
 use crate::flags::ServeSettings;
 use crate::flags::serve_flags;
+use crate::store_contact::StoreContact;
+use crate::watched_store::WatchedStore;
 
 const SUMMARY: &str = "Serves callers' requests and trainers' batch jobs on the platform.";
 const NAME: &str = "cassia-serve";
@@ -91,7 +94,9 @@
 async fn run(settings: ServeSettings) -> anyhow::Result<()> {
     let response_budget = Arc::new(ByteBudget::new(settings.response_buffer_bytes));
     let store = Arc::new(HttpStore::new(settings.store, Arc::clone(&response_budget)));
-    let app = Arc::new(App::new(&settings, store, &response_budget));
+    let contact = Arc::new(StoreContact::default());
+    let store = Arc::new(WatchedStore::new(store, Arc::clone(&contact)));
+    let app = Arc::new(App::new(&settings, store, contact, &response_budget));
     log::info!(event = "started", step = "start", host = settings.host.as_str(); "started");
     let _ops = settings.ops.map(|addr| ops::start(&app, addr)).transpose()?;
     let server = ingress::start(&settings, &app).await?;
@@ -102,6 +107,7 @@
         tokio::spawn(hosts::read_hosts(Arc::clone(&app)));
         tokio::spawn(hosts::check_links(Arc::clone(&app)));
     }
+    tokio::spawn(watched_store::probe_partitions(Arc::clone(&app)));
     tokio::spawn(config::run(Arc::clone(&app)));
     tokio::spawn(key_reads::run(Arc::clone(&app)));
     tokio::spawn(targets::run(Arc::clone(&app)));
--- a/crates/serve/src/ops.rs
+++ b/crates/serve/src/ops.rs
@@ -96,6 +96,7 @@
         "owned": *shared.owned.borrow(),
         "known_hosts": lock(&app.relay.hosts).len(),
         "cut_off": app.relay.is_cut_off(),
+        "partitions_away": away_partitions(app),
         "targets": targets_json,
         "jobs": jobs,
         "admission": app.admission.state(),
@@ -122,6 +123,12 @@
     Some(json!({"fence": fence, "unreported_windows": unreported}))
 }
 
+/// Returns the partitions of the store that don't answer.
+fn away_partitions(app: &App) -> Vec<String> {
+    let away = app.state.store_contact.away();
+    away.iter().map(|id| format!("{}/{}", id.topic, id.partition)).collect()
+}
+
 /// Dumps the open jobs of a partition; `None` if it has not been read.
 fn dump_partition(app: &App, partition: u32) -> Option<Value> {
     let table = app.job_log.table(partition);
--- a/crates/serve/src/ownership.rs
+++ b/crates/serve/src/ownership.rs
@@ -89,6 +89,7 @@
     fn record<T>(&mut self, result: &Result<T, StoreError>) -> Duration {
         if let Err(e) = result {
             self.has_failed = true;
+            self.store_contact.record_unreachable();
             log::debug!(event = "join_failed", step = e.step; "{e}");
             return RETRY_INTERVAL;
         }
--- a/crates/serve/src/partition_log.rs
+++ b/crates/serve/src/partition_log.rs
@@ -214,7 +214,8 @@
 
     async fn run_reader(self: Arc<Self>) {
         let (started, mut reads) = (Instant::now(), 0_u32);
-        let mut store_back = self.store_contact.subscribe();
+        let mut jobs_back = self.store_contact.subscribe(self.in_topic(JOBS_TOPIC));
+        let mut snapshots_back = self.store_contact.subscribe(self.in_topic(SNAPSHOT_TOPIC));
         loop {
             let began = Instant::now();
             let step = lock(&self.reader).next_step(began);
@@ -224,9 +225,14 @@
             };
             reads += 1;
             let result = tokio::select! {
-                result = self.execute(read, began + limit) => result,
+                result = self.execute(read, began + limit) => Some(result),
                 // A read that was sent before the store was back may never end.
-                _ = store_back.changed() => continue,
+                _ = jobs_back.changed() => None,
+                _ = snapshots_back.changed() => None,
+            };
+            let Some(result) = result else {
+                lock(&self.reader).plan.record_back();
+                continue;
             };
             let outcome = lock(&self.reader).record(began, result);
             self.stepped.notify_waiters();
--- a/crates/serve/src/reports.rs
+++ b/crates/serve/src/reports.rs
@@ -56,29 +56,37 @@
 
 /// Reads the reports of all hosts until the process ends.
 pub(crate) async fn read_all(store: &dyn Store, contact: &StoreContact, reader: &dyn ReportReader) {
-    let mut next = 0;
+    let (mut next, mut is_behind) = (0, false);
     let mut backoff = ReadBackoff::new(READ_TIMEOUT, MAX_READ_TIMEOUT);
-    let mut store_back = contact.subscribe();
+    let mut store_back = contact.subscribe(reader.topic());
     loop {
-        let wait = reader.wait();
+        let wait = if is_behind { Duration::ZERO } else { reader.wait() };
         let read = tokio::select! {
             read = read(store, reader, next, wait, backoff.timeout()) => read,
             // A read that was sent before the store was back may never end.
-            _ = store_back.changed() => continue,
+            _ = store_back.changed() => {
+                backoff.record_success();
+                is_behind = true;
+                continue;
+            }
             () = reader.wait_until_needed(), if !wait.is_zero() => continue,
         };
         match read {
             Ok(offset) => {
                 next = offset;
+                is_behind = false;
                 backoff.record_success();
             }
             // The store answers: the oldest records are read at once.
             Err(StoreError { kind: StoreErrorKind::Expired { oldest }, .. }) => next = oldest,
             Err(e) => {
                 backoff.record_failure();
+                is_behind = true;
                 log::debug!(event = "store_away", step = e.step; "{e}");
                 let delay = backoff.delay(RETRY_DELAY, rand::random());
-                let _ = timeout(delay, store_back.changed()).await;
+                if timeout(delay, store_back.changed()).await.is_ok() {
+                    backoff.record_success();
+                }
             }
         }
     }
--- a/crates/serve/src/runner.rs
+++ b/crates/serve/src/runner.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use cassia_clients::StoreErrorKind;
+use cassia_jobs::JOBS_TOPIC;
 use cassia_jobs::Job;
 use cassia_jobs::JobId;
 use cassia_jobs::Submission;
@@ -54,7 +55,8 @@
     let mut jobs: HashMap<JobId, RunningJob> = HashMap::new();
     let mut snapshots = SnapshotWriter::new(Arc::clone(&app), partition);
     let mut follower = Follower::default();
-    let mut store_back = app.state.store_contact.subscribe();
+    let log = app.job_log.partition(partition);
+    let mut store_back = app.state.store_contact.subscribe(log.in_topic(JOBS_TOPIC));
     // From here on every record is read as it is appended.
     if read_from_snapshot(&app, partition).await {
         start_jobs(&app, partition, &mut jobs, &tx).await;
--- a/crates/serve/src/state.rs
+++ b/crates/serve/src/state.rs
@@ -4,7 +4,7 @@
 //! | --- | --- | --- |
 //! | `routes`, `config_read_at`, `wanted` | the configuration controller | all |
 //! | `targets`, `versions` | the targets controller, and requests by their outcomes | all |
-//! | `store_contact` | the targets and ownership controllers | readiness, calls about batch jobs, other controllers, connections |
+//! | `store_contact` | all calls of the store, the targets and ownership controllers | readiness, calls about batch jobs, other controllers, connections |
 //! | `owned` | the ownership controller | the runners |
 //! | `duty_rank` | the ownership controller | the weights and duties controllers |
 //! | `stopping` | the main task | all |
@@ -84,7 +84,7 @@
 }
 
 impl SharedState {
-    pub(crate) fn new(settings: &ServeSettings) -> Self {
+    pub(crate) fn new(settings: &ServeSettings, store_contact: Arc<StoreContact>) -> Self {
         Self {
             host: settings.host.clone(),
             data_centre: settings.data_centre.clone(),
@@ -99,7 +99,7 @@
             owned: watch::Sender::new(BTreeSet::new()),
             stopping: watch::Sender::new(None),
             drained: watch::Sender::new(false),
-            store_contact: Arc::default(),
+            store_contact,
             slot_freed: Notify::new(),
             target_limited: Notify::new(),
             versions: Mutex::default(),
--- a/crates/serve/src/store_contact.rs
+++ b/crates/serve/src/store_contact.rs
@@ -1,25 +1,55 @@
-//! Whether this host reaches the store.
+//! Whether this host reaches the store, and each of its partitions.
 
+use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
+use cassia_clients::PartitionRef;
+use cassia_contact::Change;
+use cassia_contact::ContactTable;
+use cassia_contact::NextProbe;
+use cassia_contact::PartitionId;
+use cassia_ids::Offset;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::state::lock;
+
 /// How long the store may be out of reach before a host counts as cut off.
 const LOSS_LIMIT: Duration = Duration::from_secs(1);
 
-/// What the controllers that read the store have found out about it.
+/// Notified when a partition is back after an outage.
+pub(crate) type ReturnReceiver = watch::Receiver<u64>;
+
+/// What this host has found out about the store by its calls.
 #[derive(Debug)]
 pub(crate) struct StoreContact {
     lost_at: ArcSwapOption<Instant>,
-    back_at: watch::Sender<Option<Instant>>,
+    back_at: ArcSwapOption<Instant>,
+    /// Whether the small calls fail, which concern no partition.
+    is_unreachable: AtomicBool,
+    partitions: Mutex<ContactTable>,
+    /// How often each partition has come back, for those that somebody waits for.
+    returns: Mutex<HashMap<PartitionId, watch::Sender<u64>>>,
+    /// Notified when there may be something to probe.
+    probe_due: Notify,
 }
 
 impl Default for StoreContact {
     fn default() -> Self {
-        Self { lost_at: ArcSwapOption::empty(), back_at: watch::Sender::new(None) }
+        Self {
+            lost_at: ArcSwapOption::empty(),
+            back_at: ArcSwapOption::empty(),
+            is_unreachable: AtomicBool::new(false),
+            partitions: Mutex::default(),
+            returns: Mutex::default(),
+            probe_due: Notify::new(),
+        }
     }
 }
 
@@ -34,9 +64,63 @@
         self.lost_at.store(None);
     }
 
+    /// Records that small calls, which concern no partition, fail. The store as a whole is
+    /// out of reach then, and its partitions are not probed.
+    pub(crate) fn record_unreachable(&self) {
+        self.is_unreachable.store(true, Ordering::Relaxed);
+    }
+
     /// Records that the store answers small calls again.
     pub(crate) fn record_back(&self, at: Instant) {
-        self.back_at.send_replace(Some(at));
+        self.back_at.store(Some(Arc::new(at)));
+        self.is_unreachable.store(false, Ordering::Relaxed);
+        for sender in lock(&self.returns).values() {
+            sender.send_modify(|count| *count += 1);
+        }
+        self.probe_due.notify_one();
+    }
+
+    /// Records that a partition answered a call; `end` is its end, if that is known.
+    pub(crate) fn record_answer(&self, partition: PartitionRef<'_>, end: Option<Offset>) {
+        let id = partition_id(partition);
+        let (change, others) = {
+            let mut partitions = lock(&self.partitions);
+            let change = partitions.record_answer(&id, end, Instant::now());
+            (change, partitions.away().cloned().collect::<Vec<_>>())
+        };
+        if change == Change::Back {
+            let PartitionRef { topic, partition } = partition;
+            log::info!(event = "partition_back", step = "contact", topic, partition; "it answers again");
+            self.announce_return(&id);
+            for other in &others {
+                self.announce_return(other);
+            }
+        }
+    }
+
+    /// Records that a partition did not answer a call.
+    pub(crate) fn record_failure(&self, partition: PartitionRef<'_>) {
+        lock(&self.partitions).record_failure(&partition_id(partition), Instant::now());
+        self.probe_due.notify_one();
+    }
+
+    /// Records that a partition did not answer a probe.
+    pub(crate) fn record_failed_probe(&self, partition: &PartitionId) {
+        lock(&self.partitions).record_probe(partition, false, Instant::now());
+        self.probe_due.notify_one();
+    }
+
+    /// Returns the next probe, where this many hosts probe.
+    pub(crate) fn next_probe(&self, hosts: usize) -> NextProbe {
+        if self.is_unreachable.load(Ordering::Relaxed) {
+            return NextProbe::Idle;
+        }
+        lock(&self.partitions).next_probe(hosts, Instant::now())
+    }
+
+    /// Waits until there may be something else to probe.
+    pub(crate) async fn wait_for_probe(&self) {
+        self.probe_due.notified().await;
     }
 
     /// Returns whether the last read failed.
@@ -51,13 +135,32 @@
         lost_at.as_ref().is_some_and(|at| at.elapsed() >= LOSS_LIMIT)
     }
 
-    /// Returns when the store answered again after small calls to it had failed.
-    pub(crate) fn back_at(&self) -> Option<Instant> {
-        *self.back_at.borrow()
+    /// Returns when a partition answered again after calls of it, or small calls, had
+    /// failed.
+    pub(crate) fn back_at(&self, partition: PartitionRef<'_>) -> Option<Instant> {
+        let partition_back = lock(&self.partitions).back_at(&partition_id(partition));
+        partition_back.max(self.back_at.load().as_deref().copied())
+    }
+
+    /// Returns the partitions that don't answer.
+    pub(crate) fn away(&self) -> Vec<PartitionId> {
+        lock(&self.partitions).away().cloned().collect()
+    }
+
+    /// Returns a receiver that is notified when a partition answers again. A read of it that
+    /// was sent before may never end.
+    pub(crate) fn subscribe(&self, partition: PartitionRef<'_>) -> ReturnReceiver {
+        let mut returns = lock(&self.returns);
+        returns.entry(partition_id(partition)).or_insert_with(|| watch::Sender::new(0)).subscribe()
     }
 
-    /// Returns a receiver that is notified when the store answers again.
-    pub(crate) fn subscribe(&self) -> watch::Receiver<Option<Instant>> {
-        self.back_at.subscribe()
+    fn announce_return(&self, partition: &PartitionId) {
+        if let Some(sender) = lock(&self.returns).get(partition) {
+            sender.send_modify(|count| *count += 1);
+        }
     }
 }
+
+fn partition_id(partition: PartitionRef<'_>) -> PartitionId {
+    PartitionId { topic: partition.topic.into(), partition: partition.partition }
+}
--- a/crates/serve/src/targets.rs
+++ b/crates/serve/src/targets.rs
@@ -7,6 +7,7 @@
 use cassia_adapter::TARGET_TOPIC;
 use cassia_adapter::decode_heartbeat;
 use cassia_clients::KeyedRecord;
+use cassia_clients::PartitionRef;
 use cassia_clients::StoreError;
 use cassia_ids::TargetId;
 use cassia_node::ReadBackoff;
@@ -17,6 +18,8 @@
 use crate::keyed_reader::KeyedRead;
 use crate::keyed_reader::KeyedReader;
 
+/// Where the heartbeats are.
+const TARGETS: PartitionRef<'static> = PartitionRef { topic: TARGET_TOPIC, partition: 0 };
 /// How often the heartbeats are read. A read returns those of all targets;
 /// with long polling there would be a read for every single heartbeat.
 const READ_INTERVAL: Duration = Duration::from_millis(300);
@@ -65,14 +68,17 @@
         version_changes: 0,
         log_versions_at: Instant::now(),
     };
-    let mut store_back = app.state.store_contact.subscribe();
+    let mut store_back = app.state.store_contact.subscribe(TARGETS);
     loop {
         let began = Instant::now();
         let store_failed = controller.store_failed;
         let read = tokio::select! {
             read = controller.read(&app) => read,
             // A read that was sent before the store was back may never end.
-            _ = store_back.changed(), if store_failed => continue,
+            _ = store_back.changed(), if store_failed => {
+                controller.backoff.record_success();
+                continue;
+            }
         };
         match read {
             Ok(change) => {
@@ -87,7 +93,7 @@
         let store_failed = controller.store_failed;
         tokio::select! {
             () = app.state.sleep_unless_stopping(controller.delay(Instant::now())) => {}
-            _ = store_back.changed(), if store_failed => {}
+            _ = store_back.changed(), if store_failed => controller.backoff.record_success(),
         }
         if app.state.is_stopping() {
             tokio::time::sleep(READ_INTERVAL).await;
@@ -180,7 +186,7 @@
             let now = Instant::now();
             // If other calls have succeeded for long, it was this topic that
             // was away.
-            let store_back_at = app.state.store_contact.back_at();
+            let store_back_at = app.state.store_contact.back_at(TARGETS);
             let is_recent = |at: &Instant| now < *at + MAX_STORE_BACK_AGE;
             self.registry.list_reconnected(store_back_at.filter(is_recent).unwrap_or(now));
             log::info!(event = "store_back", step = "targets"; "the store can be read again");
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -2,6 +2,7 @@
 //! groups.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -41,6 +42,8 @@
     pub busy: bool,
     /// No call gets a response.
     pub hang: bool,
+    /// The partitions of which no call gets a response, by topic and number.
+    pub silent_partitions: BTreeSet<(String, u32)>,
     /// Number of appends that take effect and get no response.
     pub drop_append_responses: u32,
     /// Number of appends that get no response and take effect only after the
@@ -417,7 +420,8 @@
 impl Handler for Arc<Shared> {
     async fn handle(&self, request: Request<Bytes>) -> Reply {
         let faults = lock(&self.state).faults.clone();
-        if faults.hang {
+        let is_silent = faults.silent_partitions.contains(&Shared::partition_of(&request));
+        if faults.hang || is_silent {
             return Reply::Hang;
         }
         if faults.busy {
--- a/crates/trials/tests/platform_store_returns.rs
+++ b/crates/trials/tests/platform_store_returns.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cassia_jobs::JOBS_TOPIC;
+use cassia_jobs::SNAPSHOT_TOPIC;
 use cassia_standin::LinkCut;
 use cassia_standin::Proxy;
 use cassia_standin::StoreFaults;
 use cassia_trials::HostLinks;
 use cassia_trials::PARTITIONS;
 use cassia_trials::PlatformEnv;
+use cassia_trials::batch_job;
 use cassia_trials::eventually;
 use cassia_trials::platform_config;
 use cassia_trials::wait_until_serving;
@@ -120,3 +123,74 @@
     }
     Ok(())
 }
+
+/// A reader of a partition that was silent, while all others answered, learned of its return
+/// by the end of its own read and the delay after that: hosts refused a route for up to four
+/// seconds, since no small call had failed.
+#[rstest]
+#[case::configuration_alone(&["keyed.op"])]
+#[case::with_others(&["keyed.op", "keyed.servers", "keyed.hosts"])]
+#[tokio::test]
+async fn the_configuration_is_known_soon_after_its_partition_is_back(
+    #[case] topics: &[&str],
+) -> anyhow::Result<()> {
+    let env = PlatformEnv::start().await?.with_targets(0, 2).await?;
+    let mut processes = Vec::new();
+    for n in 0..HOSTS {
+        processes.push(env.start_process(&format!("h{n}")).await?);
+    }
+    let silent_partitions = topics.iter().map(|topic| ((*topic).to_owned(), 0)).collect();
+    let silent = StoreFaults { silent_partitions, ..StoreFaults::default() };
+    for round in 1..=ROUNDS {
+        env.store.put("keyed.op", "config", Some(&platform_config(2 * round, false)));
+        sleep(Duration::from_secs(3)).await;
+        env.store.set_faults(silent.clone());
+        sleep(Duration::from_secs(1)).await;
+        env.store.put("keyed.op", "config", Some(&platform_config(2 * round + 1, true)));
+        sleep(OUTAGE).await;
+        env.store.set_faults(StoreFaults::default());
+        sleep(LIMIT).await;
+        for (n, process) in processes.iter().enumerate() {
+            let id = format!("r{round}-{n}");
+            let response = env.request(process, "/extra/1", &id).await;
+            assert_ne!(response.status, 404, "host {n}, round {round}: {response:?}");
+        }
+    }
+    Ok(())
+}
+
+/// The jobs of a partition that was silent are known soon after it is back, at hosts that
+/// run them and at others: an end that was written in the outage, and a job.
+#[tokio::test]
+async fn jobs_are_known_soon_after_their_partition_is_back() -> anyhow::Result<()> {
+    let env = PlatformEnv::start().await?.with_targets(1, 1).await?;
+    let mut processes = Vec::new();
+    for n in 0..4 {
+        processes.push(env.start_process(&format!("h{n}")).await?);
+    }
+    wait_until_serving(&env, &processes[0]).await?;
+    for round in 0..ROUNDS {
+        let job = format!("j{round}");
+        let submitted = env.submit_job(&processes[0], &job, &batch_job(&job, 4, 1)).await;
+        assert_eq!(submitted.status, 202, "{submitted:?}");
+        for process in &processes {
+            env.results(process, &job, 0).await;
+        }
+        let topics = [JOBS_TOPIC, SNAPSHOT_TOPIC];
+        let silent_partitions =
+            (0..PARTITIONS).flat_map(|p| topics.map(|topic| (topic.to_owned(), p))).collect();
+        env.store.set_faults(StoreFaults { silent_partitions, ..StoreFaults::default() });
+        // Reads are under way as the outage begins, and as it ends.
+        let reads = processes.iter().map(|process| env.results(process, &job, 0));
+        let (_, ()) = tokio::join!(join_all(reads), sleep(OUTAGE));
+        env.store.set_faults(StoreFaults::default());
+        sleep(LIMIT).await;
+        for (n, process) in processes.iter().enumerate() {
+            let response = env.results(process, &job, 0).await;
+            assert_eq!(response.status, 200, "host {n}, round {round}: {response:?}");
+        }
+        let results = env.all_results(&processes[1], &job).await;
+        assert!(results.is_some(), "round {round}: the job is not finished");
+    }
+    Ok(())
+}
