Serve: the bodies of requests count until they are answered

Cause: the budget of bodies counted them only while they came. Complete ones, kept for further attempts, counted nowhere, and chunks took twice their size while they were copied together.

Ruled out: refusing at once what doesn't fit; at the usual rate of the case uploads have room a moment later. Counting bytes as they come: bodies that hold a part would wait for each other.

Change: a body of a stated length is reserved whole in a budget of half of the process's memory (--memory-mb, in the deploy file) less 24 MB, waits for room unread for the time limit of a chunk, and counts until its request is answered. Those of up to 64 KB have 4 MB apart.

Before, on: platform_body_limits' new case failed (past 112 MB).

--- a/crates/serve/src/app.rs
+++ b/crates/serve/src/app.rs
@@ -9,7 +9,7 @@
 use cassia_node::MetricsPage;
 
 use crate::admission::AdmissionControl;
-use crate::body;
+use crate::body::BodyBudgets;
 use crate::clock::BootClock;
 use crate::clock::Clock;
 use crate::demand::Demand;
@@ -53,8 +53,8 @@
     pub(crate) key_reads: ConfigReads,
     /// Which requests run, and which wait, at the plain services.
     pub(crate) admission: AdmissionControl,
-    /// Memory used by request bodies that are not complete yet.
-    pub(crate) body_budget: Arc<ByteBudget>,
+    /// Memory used by the bodies of requests that are not answered yet.
+    pub(crate) body_budgets: BodyBudgets,
     pub(crate) metrics: Metrics,
     /// The metrics as served to operators.
     pub(crate) page: MetricsPage,
@@ -85,7 +85,7 @@
             streams: Streams::default(),
             key_reads: ConfigReads::default(),
             admission: AdmissionControl::default(),
-            body_budget: Arc::new(ByteBudget::new(body::MAX_BUFFERED_BYTES)),
+            body_budgets: BodyBudgets::new(settings.body_buffer_bytes()),
             store,
             clients: TargetClients::new(response_budget, &relay),
             relay,
--- a/crates/serve/src/call.rs
+++ b/crates/serve/src/call.rs
@@ -46,6 +46,7 @@
 use crate::app::App;
 use crate::attempts::Attempts;
 use crate::attempts::is_target_failure;
+use crate::body::BodyShare;
 use crate::exposure;
 use crate::exposure::Unanswered;
 use crate::job_requests::JobRequests;
@@ -79,6 +80,9 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The body's share of the budget of all bodies; `None` for requests of this process.
+    #[expect(dead_code, reason = "it is held for its drop")]
+    pub(crate) held: Option<Arc<BodyShare>>,
     pub(crate) requester: Requester,
 }
 
--- a/crates/serve/src/flags.rs
+++ b/crates/serve/src/flags.rs
@@ -17,6 +17,12 @@
 const SCALE_DUTY: &str = "scale";
 /// How long after the last read of the configuration keys are refused, if they are.
 const DEFAULT_REVOKE_MS: &str = "5000";
+/// Memory of the smallest hosts, in megabytes, which is assumed if none is stated.
+const SMALLEST_MEMORY_MB: &str = "112";
+/// What half of the memory is needed for beside the bodies of requests.
+const OTHER_MEMORY_MB: usize = 24;
+/// The least limit on these bodies.
+const MIN_BODY_MB: usize = 16;
 
 /// Settings of this program:
 #[derive(Bpaf, Clone, Debug)]
@@ -79,6 +85,9 @@
     /// Maximum size of all responses of targets and the store that are being read, in kilobytes
     #[bpaf(long, env("CASSIA_RESPONSE_BUFFER_KB"), argument("KB"), fallback("16384".to_owned()), display_fallback)]
     response_buffer_kb: String,
+    /// Memory that the process may use, in megabytes; half of it, less 24, is for the bodies of requests; 112 if none is stated
+    #[bpaf(long, env("CASSIA_MEMORY_MB"), argument("MB"))]
+    memory_mb: Option<String>,
     /// How long a planned stop may take, in milliseconds
     #[bpaf(long, env("CASSIA_STOP_LIMIT_MS"), argument("MS"), fallback("7000".to_owned()), display_fallback)]
     stop_limit_ms: String,
@@ -122,6 +131,7 @@
     /// milliseconds; `None` if they are not.
     pub(crate) revoke_ms: Option<u64>,
     pub(crate) response_buffer_bytes: usize,
+    pub(crate) memory_mb: u64,
     pub(crate) stop_limit_ms: u64,
     pub(crate) check_only: bool,
 }
@@ -158,6 +168,8 @@
         let revoke_ms = self.parse_revoke_ms(faults);
         let response_buffer_kb =
             faults.number("--response-buffer-kb", &self.response_buffer_kb, 1_024, 1 << 24);
+        let memory_mb = given(self.memory_mb.as_deref()).unwrap_or(SMALLEST_MEMORY_MB);
+        let memory_mb = faults.number("--memory-mb", memory_mb, 1, 1 << 20);
         let stop_limit_ms = faults.number("--stop-limit-ms", &self.stop_limit_ms, 0, 600_000);
         Some(ServeSettings {
             host: host?,
@@ -174,6 +186,7 @@
             duties,
             revoke_ms,
             response_buffer_bytes: usize::try_from(response_buffer_kb? << 10).ok()?,
+            memory_mb: memory_mb?,
             stop_limit_ms: stop_limit_ms?,
             check_only: self.check,
         })
@@ -230,6 +243,12 @@
         self.record_bytes.saturating_sub(RESULT_OVERHEAD_BYTES)
     }
 
+    /// Returns the limit on the bodies of requests that are not answered yet, in bytes.
+    pub(crate) fn body_buffer_bytes(&self) -> usize {
+        let mb = usize::try_from(self.memory_mb / 2).unwrap_or(usize::MAX);
+        mb.saturating_sub(OTHER_MEMORY_MB).max(MIN_BODY_MB).saturating_mul(1 << 20)
+    }
+
     /// Returns how long a planned stop may take.
     pub(crate) fn stop_limit(&self) -> Duration {
         Duration::from_millis(self.stop_limit_ms)
--- a/crates/serve/src/ingress.rs
+++ b/crates/serve/src/ingress.rs
@@ -46,6 +46,7 @@
 use crate::accounts::identify_again;
 use crate::app::App;
 use crate::body;
+use crate::body::HeldBody;
 use crate::call;
 use crate::job_calls;
 use crate::key_reads;
@@ -273,7 +274,7 @@
     };
     let (parts, incoming) = req.into_parts();
     let body = tokio::select! {
-        body = body::read(incoming, &table.limits, &app.body_budget) => body,
+        body = body::read(incoming, &table.limits, &app.body_budgets) => body,
         () = app.state.wait_for_last_answers() => Err(Refusal::Stopping),
     };
     let body = match body {
@@ -350,7 +351,11 @@
     refusal.response("route")
 }
 
-fn outgoing_request(mut parts: Parts, body: Bytes, requester: Requester) -> call::OutgoingRequest {
+fn outgoing_request(
+    mut parts: Parts,
+    body: HeldBody,
+    requester: Requester,
+) -> call::OutgoingRequest {
     // A key must not appear where the headers are printed.
     if let Some(key) = parts.headers.get_mut(AUTHORIZATION) {
         key.set_sensitive(true);
@@ -359,7 +364,8 @@
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
-        body,
+        body: body.bytes,
+        held: Some(Arc::new(body.share)),
         requester,
     }
 }
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -518,6 +518,7 @@
             uri,
             headers,
             body: reward.body.clone(),
+            held: None,
             requester: Requester::of_job(&self.submission.customer),
         };
         let call = Call {
--- a/crates/serve/src/submit.rs
+++ b/crates/serve/src/submit.rs
@@ -16,6 +16,7 @@
 
 use crate::accounts::Requester;
 use crate::app::App;
+use crate::body::HeldBody;
 use crate::clock::unix_ms;
 use crate::response::Body;
 use crate::response::Refusal;
@@ -65,11 +66,11 @@
     head: &RequestHead,
     route: &Route,
     parts: &Parts,
-    body: Bytes,
+    body: HeldBody,
     requester: &Requester,
 ) -> Response<Body> {
     let accepted_ms = unix_ms();
-    let job = decode_submission(&head.id, &head.host, parts.uri.path(), accepted_ms, &body);
+    let job = decode_submission(&head.id, &head.host, parts.uri.path(), accepted_ms, &body.bytes);
     let mut job = match job {
         Ok(job) if !head.id.is_empty() => job,
         Ok(_) => return Refusal::BadRequest.response("submit"),
--- a/crates/trials/tests/platform_body_limits.rs
+++ b/crates/trials/tests/platform_body_limits.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use anyhow::Context;
+use bytes::Bytes;
 use cassia_trials::PlatformEnv;
 use cassia_trials::Process;
 use cassia_trials::ROUTE_HOST;
@@ -184,3 +185,47 @@
     }
     Ok(())
 }
+
+/// Complete bodies counted nowhere while their requests waited for a target, so that a burst
+/// of uploads took the process past the memory of its host, and all of them were lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_bodies_of_unanswered_requests_hold_limited_memory() -> anyhow::Result<()> {
+    const UPLOADS: usize = 24;
+    const UPLOAD_BYTES: usize = 8 << 20;
+    const HOST_MB: u64 = 112;
+    let mut env = PlatformEnv::start().await?.with_targets(0, 4).await?;
+    env.flags.push(format!("--memory-mb={HOST_MB}"));
+    let mut config = platform_config(2, true);
+    config["limits"]["max_body_bytes"] = (2 * UPLOAD_BYTES).into();
+    env.store.put("keyed.op", "config", Some(&config));
+    let process = env.start_process("h0").await?;
+    wait_until_serving(&env, &process).await?;
+    for target in &env.targets {
+        target.set_delay(Duration::from_millis(1_500));
+    }
+    let body = Bytes::from(vec![b'x'; UPLOAD_BYTES]);
+    let one = |n: usize| {
+        let (env, process, body) = (&env, &process, body.clone());
+        async move {
+            sleep(Duration::from_millis(50) * u32::try_from(n).unwrap_or_default()).await;
+            let id = format!("u{n}");
+            let headers = [("attempt-id", id.as_str()), ("deadline-ms", "3000")];
+            let response = env.send("POST", process.listen, "/once/1", &headers, body).await;
+            (response.status, env.run_count(&id))
+        }
+    };
+    let (responses, small) = tokio::join!(join_all((0..UPLOADS).map(one)), async {
+        sleep(Duration::from_millis(700)).await;
+        env.request(&process, "/quote/1", "small").await
+    });
+    let peak = process.peak_mb()?;
+    assert!(peak < HOST_MB, "{peak} MB");
+    let served = responses.iter().filter(|(status, _)| *status == 200).count();
+    assert!(served >= 2, "{responses:?}");
+    for (status, runs) in &responses {
+        // A caller that is refused while it still sends may only see its connection end.
+        assert!(*status == 200 || *runs == 0, "refused or cut, and it ran: {responses:?}");
+    }
+    assert_eq!(small.status, 200, "a small request beside the uploads: {small:?}");
+    Ok(())
+}
