Contact: under overload an answered probe ends no long read

Where the store is overloaded, some probes are answered and others are not. Each answer after a silence woke the partition's readers, which began their reads anew with the first timeout, so a read that takes longer could never end: what the growth of timeouts is there for when all hosts start at once.

Found by reading the change, in virtual time: with one probe in two to five answered a read of two seconds never ended within 40 s (contact::outages::a_long_read_ends_under_overload).

Change: the silence that counts as an outage is 1 s for a second return within ten seconds, and doubles up to 4 s. The first return counts after any failed probe, as before; readers that were woken have short timeouts of their own.

Before: the test fails with the guard taken out.

--- a/crates/contact/src/lib.rs
+++ b/crates/contact/src/lib.rs
@@ -5,8 +5,9 @@
 //! [`ContactTable`] learns from all calls which partitions don't answer, asks these for
 //! little at short intervals, and says when one is back, so that its readers read at once.
 //!
-//! A partition counts as back only if a probe of it has failed before. One that answers
-//! probes and whose reads time out is slow: its readers need more time, not another read.
+//! A partition counts as back only if a probe of it has failed before, and for longer each
+//! time that it has come back a moment ago. One that answers probes and whose reads time out
+//! is slow: its readers need more time, not another read.
 //!
 //! The crate does no I/O and reads no clock.
 //!
--- a/crates/contact/src/table.rs
+++ b/crates/contact/src/table.rs
@@ -15,6 +15,14 @@
 /// store takes.
 const MAX_PROBES_PER_S: u32 = 1_000;
 
+/// How long ago the last return of a partition must be for the next one to count as the
+/// first.
+const RETURN_MEMORY: Duration = Duration::from_secs(10);
+/// Half of the silence that the second return needs.
+const MIN_SILENCE: Duration = Duration::from_millis(500);
+/// How often that silence doubles.
+const MAX_SILENCE_DOUBLINGS: u32 = 3;
+
 /// Identifies a partition of the store.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct PartitionId {
@@ -57,15 +65,39 @@
     /// `None` while it answers.
     away: Option<Away>,
     back_at: Option<Instant>,
+    /// How often it has come back at short intervals.
+    returns: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Away {
-    has_failed_probe: bool,
+    /// When the first probe failed.
+    silent_since: Option<Instant>,
     is_asked: bool,
     probe_at: Instant,
 }
 
+impl Contact {
+    /// Records that the partition answers after it has been silent.
+    ///
+    /// Under overload some probes are answered and others aren't. If each answer ended the
+    /// reads that are under way, none that takes long would ever end. So the silence that
+    /// counts as an outage doubles with each return, unless the last one is long ago.
+    fn record_return(&mut self, silent_since: Instant, now: Instant) -> Change {
+        if self.back_at.is_none_or(|at| now >= at + RETURN_MEMORY) {
+            self.returns = 0;
+        }
+        let is_first = self.returns == 0;
+        let min_silence = MIN_SILENCE * (1 << self.returns.min(MAX_SILENCE_DOUBLINGS));
+        if !is_first && now < silent_since + min_silence {
+            return Change::None;
+        }
+        self.returns += 1;
+        self.back_at = Some(now);
+        Change::Back
+    }
+}
+
 /// The partitions that this host has called.
 #[derive(Debug, Default)]
 pub struct ContactTable {
@@ -84,17 +116,13 @@
     ) -> Change {
         let contact = self.contact(partition);
         contact.end = end.unwrap_or(contact.end);
-        let was_away = contact.away.take();
-        if was_away.is_some_and(|away| away.has_failed_probe) {
-            contact.back_at = Some(now);
-            return Change::Back;
-        }
-        Change::None
+        let silent_since = contact.away.take().and_then(|away| away.silent_since);
+        silent_since.map_or(Change::None, |since| contact.record_return(since, now))
     }
 
     /// Records that a call of a partition was not answered, or refused as a whole.
     pub fn record_failure(&mut self, partition: &PartitionId, now: Instant) {
-        let away = Away { has_failed_probe: false, is_asked: false, probe_at: now };
+        let away = Away { silent_since: None, is_asked: false, probe_at: now };
         self.contact(partition).away.get_or_insert(away);
     }
 
@@ -132,7 +160,7 @@
         }
         if let Some(away) = &mut self.contact(partition).away {
             away.is_asked = false;
-            away.has_failed_probe = true;
+            away.silent_since.get_or_insert(now);
         }
         Change::None
     }
--- a/crates/contact/tests/outages.rs
+++ b/crates/contact/tests/outages.rs
@@ -317,3 +317,38 @@
     }
     assert_eq!(contact.back_at(&id), None);
 }
+
+/// Under overload some probes are answered, here one in several. A read that takes two seconds
+/// then would never end, if it were begun anew after each probe that is answered.
+#[test]
+fn a_long_read_ends_under_overload() {
+    const READ_TIME: Duration = ms(2_000);
+    let id = PartitionId { topic: "t".into(), partition: 0 };
+    for answered_in in 2..6_u32 {
+        let (start, mut contact) = (Instant::now(), ContactTable::default());
+        let mut backoff = ReadBackoff::new(ms(500), ms(3_000));
+        let (mut now, mut read_from) = (Duration::ZERO, Duration::ZERO);
+        let (mut probe_ends, mut probes) = (None, 0);
+        while now < read_from + READ_TIME {
+            assert!(now < Duration::from_secs(40), "the read never ends");
+            if now >= read_from + backoff.timeout() {
+                contact.record_failure(&id, start + now);
+                backoff.record_failure();
+                read_from = now;
+            }
+            if probe_ends.is_some_and(|at| now >= at) {
+                probe_ends = None;
+                probes += 1;
+                let is_answered = probes % answered_in == 0;
+                if contact.record_probe(&id, is_answered, start + now) == Change::Back {
+                    backoff.record_success();
+                    read_from = now;
+                }
+            }
+            if let NextProbe::Send { .. } = contact.next_probe(1, start + now) {
+                probe_ends = Some(now + PROBE_TIMEOUT);
+            }
+            now += ms(10);
+        }
+    }
+}
