Serve, node: two names and a comment that a reading of the change found

Says that a backoff starts anew after an outage too, and tells the crashes that an item may cause from the runs that it is given. No behaviour changes.

--- a/crates/node/src/backoff.rs
+++ b/crates/node/src/backoff.rs
@@ -45,7 +45,8 @@
         self.failures = self.failures.saturating_add(1);
     }
 
-    /// Records that a read succeeded.
+    /// Records that a read succeeded, or that the store answers again after an outage: what
+    /// failed in it needs no longer timeout.
     pub fn record_success(&mut self) {
         self.failures = 0;
     }
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -388,10 +388,10 @@
     /// Returns whether an item may run, as far as engines have crashed under it. It may
     /// crash as many as a failing one may get responses of 500.
     fn may_run(&self, digest: RequestDigest, route: &Route) -> bool {
-        let max_runs = MAX_CRASHES_PER_ATTEMPT * route.max_attempts.max(1) as usize;
+        let max_crashes = MAX_CRASHES_PER_ATTEMPT * route.max_attempts.max(1) as usize;
         // While partitions move, two hosts may run the job, and neither knows yet what crashes
         // under the other's run.
-        let max_runs = max_runs - 1;
+        let max_runs = max_crashes - 1;
         self.app.quarantine.next_run(digest, max_runs) == RunDecision::Run
     }
 
