--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -3,12 +3,10 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
-use cassia_adapter::reward_request;
 use cassia_ids::ModelName;
 use cassia_ids::TargetId;
 use cassia_jobs::Item;
@@ -17,7 +15,6 @@
 use cassia_jobs::ItemText;
 use cassia_jobs::RetryDecision;
 use cassia_jobs::RetryState;
-use cassia_jobs::Reward;
 use cassia_jobs::Submission;
 use cassia_quarantine::RequestDigest;
 use cassia_quarantine::RunDecision;
@@ -25,17 +22,12 @@
 use cassia_route::Route;
 use cassia_route::SlotPreference;
 use cassia_route::Target;
-use http::Method;
 use smol_str::SmolStr;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use crate::accounts;
-use crate::accounts::Requester;
 use crate::app::App;
-use crate::call::Call;
-use crate::call::CallOutcome;
-use crate::call::OutgoingRequest;
 use crate::call::millis;
 use crate::clock::unix_ms;
 use crate::generate::Run;
@@ -61,9 +53,9 @@
 /// How often it is looked whether an item that is suspected of crashing engines may run.
 const SUSPECT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// The method of items and reward calls.
-const POST: &str = "POST";
+pub(crate) const POST: &str = "POST";
 /// Delay while an item or its reward call has no route, or its route no service.
-const NO_ROUTE_DELAY: Duration = Duration::from_millis(300);
+pub(crate) const NO_ROUTE_DELAY: Duration = Duration::from_millis(300);
 /// Added to the retention of an item, since the hosts' clocks differ.
 const MAX_CLOCK_SKEW_MS: u64 = 6_000;
 
@@ -110,7 +102,7 @@
 
 /// The outcome of an item.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ItemOutcome {
+pub(crate) enum ItemOutcome {
     /// Its text is complete and has its score, if it needs one.
     Completed,
     /// An engine states that it can never be completed.
@@ -192,7 +184,7 @@
 
     /// Returns whether the item may be given up because the retention of its
     /// route has passed.
-    fn is_past_retention(&self, route: &Route) -> bool {
+    pub(crate) fn is_past_retention(&self, route: &Route) -> bool {
         route.job.retention_ms > 0
             && unix_ms() > self.submission.accepted_ms + route.job.retention_ms + MAX_CLOCK_SKEW_MS
     }
@@ -446,95 +438,6 @@
         log::info!(event = "item_resumed", step = "run", id, after, used = text.is_ok(); "another process had begun the item");
         text.ok()
     }
-
-    /// Fetches the score of an item's text, or returns why there is none.
-    async fn fetch_score(&self, item: &Item, reward: &Reward) -> Result<SmolStr, ItemOutcome> {
-        let id = item.id.as_str();
-        let mut attempts = RetryState::default();
-        loop {
-            self.requests.wait_until_may_begin().await;
-            let item_route = self.find_route(&self.submission.host, &item.path);
-            if item_route.is_some_and(|route| self.is_past_retention(&route)) {
-                return Err(ItemOutcome::PastRetention);
-            }
-            let Some(route) = self.find_route(&reward.host, &reward.path) else {
-                sleep(NO_ROUTE_DELAY).await;
-                continue;
-            };
-            let Some(service) = route.pick_service(rand::random()).cloned() else {
-                sleep(NO_ROUTE_DELAY).await;
-                continue;
-            };
-            let Some(outcome) = self.call_scorer(reward, &route, service).await else {
-                return Err(ItemOutcome::RewardFailed);
-            };
-            match outcome {
-                CallOutcome::Response(resp) => {
-                    let is_success = resp.response.status().is_success();
-                    if let Some(score) = resp.head.signature.filter(|_| is_success) {
-                        return Ok(score);
-                    }
-                    attempts.record_interruption();
-                }
-                CallOutcome::Failed(_, failures) => {
-                    let call = reward.id.as_str();
-                    log::info!(event = "reward_failed", step = "score", id, call, failures; "all targets that ran it failed");
-                    for _ in 0..failures {
-                        if attempts.record_failure(route.max_attempts) == RetryDecision::GiveUp {
-                            return Err(ItemOutcome::RewardFailed);
-                        }
-                    }
-                    attempts.record_interruption();
-                }
-                CallOutcome::Refused(refusal) => {
-                    let (call, kind) = (reward.id.as_str(), refusal.kind());
-                    log::info!(event = "reward_refused", step = "score", id, call, kind; "no response of a target");
-                    attempts.record_interruption();
-                }
-            }
-            sleep(Duration::from_millis(attempts.delay_ms())).await;
-        }
-    }
-
-    /// Makes a reward call; `None` if the call is not valid.
-    async fn call_scorer(
-        &self,
-        reward: &Reward,
-        route: &Route,
-        service: SmolStr,
-    ) -> Option<CallOutcome> {
-        let (uri, headers) = match reward_request(reward) {
-            Ok(request) => request,
-            Err(e) => {
-                log::warn!(event = "reward_impossible", step = "score", id = reward.id.as_str(); "{e}");
-                return None;
-            }
-        };
-        let digest = request_digest(&reward.host, POST, &reward.path, &reward.body);
-        let deadline = Instant::now() + route.timeout();
-        let id = SmolStr::new(&reward.id);
-        let outgoing = OutgoingRequest {
-            method: Method::POST,
-            uri,
-            headers,
-            body: reward.body.clone(),
-            held: None,
-            requester: Requester::of_job(&self.submission.customer),
-        };
-        let call = Call {
-            app: &self.app,
-            id: &id,
-            route,
-            service,
-            outgoing,
-            digest: Some(digest),
-            job: Some(&self.requests),
-            is_counted: AtomicBool::new(false),
-            deadline,
-            caller_deadline: deadline,
-        };
-        Some(call.run().await)
-    }
 }
 
 /// Returns the digest by which an item is recognised when it comes again.
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -40,6 +40,7 @@
 mod reports;
 mod response;
 mod resume;
+mod reward;
 mod runner;
 mod scaling;
 mod slot;
