--- a/crates/serve/src/exposure.rs
+++ b/crates/serve/src/exposure.rs
@@ -74,12 +74,6 @@
     if is_up { SendDecision::Send } else { SendDecision::KeepTarget }
 }
 
-/// Returns whether a target whose connection broke has ended: it accepts no other one.
-pub(crate) async fn has_ended(app: &App, target: &Target) -> bool {
-    sleep(END_TIME).await;
-    !app.relay.accepts_connections(target.info.addr, CONNECT_TIMEOUT).await
-}
-
 /// Waits, before a request is answered under which a target crashed, until the
 /// store has the report: the caller may send it to another host at once. Without the
 /// store the other hosts can't know either, so the wait is short.
--- a/crates/serve/src/item.rs
+++ b/crates/serve/src/item.rs
@@ -30,7 +30,6 @@
 use crate::app::App;
 use crate::call::millis;
 use crate::clock::unix_ms;
-use crate::exposure;
 use crate::generate::Run;
 use crate::generate::RunOutcome;
 use crate::job_requests::JobRequests;
@@ -334,7 +333,7 @@
             let before = so_far.last_event_id();
             let outcome = run.generate(so_far).await;
             let has_progressed = so_far.last_event_id() > before;
-            self.record_crash_or_progress(digest, engine.target(), outcome, has_progressed).await;
+            self.record_crash_or_progress(digest, engine.target(), outcome, has_progressed);
             if has_progressed {
                 software_deadline = Instant::now() + SOFTWARE_TIMEOUT;
             }
@@ -389,9 +388,8 @@
     }
 
     /// Records whether an engine crashed under an item. What crashes engines gets no further
-    /// than to a certain event, so one that got further was only beside the cause. An engine
-    /// whose connections were reset on the way has not crashed.
-    async fn record_crash_or_progress(
+    /// than to a certain event, so one that got further was only beside the cause.
+    fn record_crash_or_progress(
         &self,
         digest: RequestDigest,
         engine: &Target,
@@ -400,7 +398,7 @@
     ) {
         if has_progressed || outcome == RunOutcome::Complete {
             self.app.quarantine.record_run(digest);
-        } else if outcome == RunOutcome::Lost && exposure::has_ended(&self.app, engine).await {
+        } else if outcome == RunOutcome::Lost {
             self.app.quarantine.record_crash(digest, engine);
         }
     }
