--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -8,6 +8,7 @@
 mod held;
 mod host;
 mod http;
+mod one;
 mod record;
 mod site;
 
@@ -68,6 +69,7 @@
         let case = async {
             match case.as_str() {
                 "held" => held::run(&setting).await,
+                "one" => one::run(&setting).await,
                 other => anyhow::bail!("no such case: {other}"),
             }
         };
