--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod one;
 mod record;
+mod recover;
 mod site;
 
 use std::path::PathBuf;
@@ -70,6 +71,7 @@
             match case.as_str() {
                 "held" => held::run(&setting).await,
                 "one" => one::run(&setting).await,
+                "recover" => recover::run(&setting).await,
                 other => anyhow::bail!("no such case: {other}"),
             }
         };
