--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -8,6 +8,7 @@
 mod held;
 mod host;
 mod http;
+mod leaving;
 mod one;
 mod record;
 mod recover;
@@ -70,6 +71,7 @@
         let case = async {
             match case.as_str() {
                 "held" => held::run(&setting).await,
+                "leaving" => leaving::run(&setting).await,
                 "one" => one::run(&setting).await,
                 "recover" => recover::run(&setting).await,
                 other => anyhow::bail!("no such case: {other}"),
